--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/entry/src/batch_view.rs
@@ -0,0 +1,184 @@
+//! What callers see of their jobs: state, results, cancel.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::ledger::{ItemRange, JobState};
+use amaranth_net::answer;
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::{CommandId, JobId, LogOffset};
+use amaranth_wire::message::JobPhase;
+use amaranth_wire::record::{ItemOutcome, LogRecord};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body::Frame;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::context::{InstanceContext, Result};
+
+/// Longest wait until a cancel is on the log.
+const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Pieces of a result stream that may wait for a slow caller.
+const STREAM_BUFFER: usize = 4;
+
+/// Handles a query for a job's state.
+pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let job = parse_job(request.param(0))?;
+    Ok(answer::json(200, &view(&context, &job)?))
+}
+
+/// Handles a query for a job's results, as a stream of JSON lines.
+pub async fn results(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let job = parse_job(request.param(0))?;
+    let plan = with_job(&context, &job, ResultPlan::new)?;
+    let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
+    context
+        .work
+        .spawn(write_results(context.clone(), job, plan, sender));
+    let pieces = stream::unfold(receiver, |mut receiver| async {
+        let piece = receiver.recv().await?;
+        Some((piece, receiver))
+    });
+    Ok(answer::stream(
+        200,
+        answer::JSON_LINES,
+        Body::from_stream(pieces),
+    ))
+}
+
+/// Handles a cancel.
+pub async fn cancel(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let job = parse_job(request.param(0))?;
+    with_job(&context, &job, |_| ())?;
+    let command: CommandId = format!("cancel-{:016x}", rand::random::<u64>())
+        .parse()
+        .expect("a valid identifier");
+    let record = LogRecord::JobCancelled {
+        job: job.clone(),
+        command,
+    };
+    let offset = context.committer.submit(vec![record], COMMIT_LIMIT).await?;
+    if !context.state.wait_folded(offset, COMMIT_LIMIT).await {
+        let message = "the cancel is on the log but was not read back in time";
+        return Err(CallError::new(ErrorKind::OutcomeUnknown, message));
+    }
+    Ok(answer::json(200, &view(&context, &job)?))
+}
+
+/// A job as batch clients expect it.
+pub fn view(context: &InstanceContext, job: &JobId) -> Result<Value> {
+    with_job(context, job, |state| {
+        let report = state.report(job);
+        let status = match report.phase {
+            JobPhase::InProgress => "in_progress",
+            JobPhase::Completed => "completed",
+            JobPhase::Cancelled => "cancelled",
+        };
+        json!({
+            "id": job,
+            "object": "batch",
+            "endpoint": "/v1/chat/completions",
+            "status": status,
+            "created_at": state.submitted_ms / 1_000,
+            "expires_at": state.deadline_ms / 1_000,
+            "request_counts": {
+                "total": report.total,
+                "completed": report.completed,
+                "failed": report.failed,
+            },
+            "tier": state.tier,
+        })
+    })
+}
+
+fn parse_job(text: &str) -> Result<JobId> {
+    let not_found = |_| CallError::new(ErrorKind::NotFound, "no such batch");
+    text.parse().map_err(not_found)
+}
+
+fn with_job<T>(
+    context: &InstanceContext,
+    job: &JobId,
+    look: impl FnOnce(&JobState) -> T,
+) -> Result<T> {
+    let shard = context.state.shard_for(job);
+    match shard.get(job) {
+        Some(state) => Ok(look(state)),
+        None => Err(CallError::new(ErrorKind::NotFound, "no such batch")),
+    }
+}
+
+/// What has to be read from the log for the results of a job.
+struct ResultPlan {
+    ranges: Vec<ItemRange>,
+    offsets: Vec<LogOffset>,
+}
+
+impl ResultPlan {
+    fn new(state: &JobState) -> Self {
+        Self {
+            ranges: state.ranges.clone(),
+            offsets: state.result_offsets.clone(),
+        }
+    }
+}
+
+type Piece = std::result::Result<Frame<Bytes>, volo_http::error::BoxError>;
+
+async fn write_results(
+    context: Arc<InstanceContext>,
+    job: JobId,
+    plan: ResultPlan,
+    sender: mpsc::Sender<Piece>,
+) {
+    if let Err(e) = copy_results(&context, &job, &plan, &sender).await {
+        let _ = sender.send(Err(Box::new(e).into())).await;
+    }
+}
+
+/// Sends the first result of each item, in the order of the items.
+async fn copy_results(
+    context: &InstanceContext,
+    job: &JobId,
+    plan: &ResultPlan,
+    sender: &mpsc::Sender<Piece>,
+) -> Result<()> {
+    let mut first: HashMap<u32, ItemOutcome> = HashMap::new();
+    for offset in &plan.offsets {
+        for outcome in context.items.outcomes(*offset, job).await? {
+            first.entry(outcome.index).or_insert(outcome);
+        }
+    }
+    for range in &plan.ranges {
+        let items = context.items.items(range.offset, job, range.first).await?;
+        let mut piece = Vec::new();
+        for (index, item) in (range.first..).zip(&items) {
+            if let Some(outcome) = first.remove(&index) {
+                write_line(&mut piece, job, &item.custom_id, &outcome);
+            }
+        }
+        if sender.send(Ok(Frame::data(piece.into()))).await.is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn write_line(piece: &mut Vec<u8>, job: &JobId, custom_id: &str, outcome: &ItemOutcome) {
+    let id = format!("{job}_{}", outcome.index);
+    let body: Value = serde_json::from_slice(&outcome.body).unwrap_or(Value::Null);
+    let succeeded = outcome.status < 400;
+    let response = json!({"status_code": outcome.status, "request_id": id, "body": body});
+    let error = match succeeded {
+        true => Value::Null,
+        false => body.get("error").cloned().unwrap_or(Value::Null),
+    };
+    let line = json!({"id": id, "custom_id": custom_id, "response": response, "error": error});
+    piece.extend_from_slice(line.to_string().as_bytes());
+    piece.push(b'\n');
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,118 @@
+//! What the parts of one instance share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use amaranth_net::client::HttpClient;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::message::InstanceReport;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::committer::LogCommitter;
+use crate::config::EntryConfig;
+use crate::item_reader::ItemReader;
+use crate::log_client::LogClient;
+use crate::membership::MemberTable;
+use crate::shared_state::SharedState;
+use crate::upstream_table::UpstreamTable;
+
+/// Longest wait for a connection to an upstream or peer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Result of a call on an instance.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// The parts of one instance.
+pub struct InstanceContext {
+    /// What it was started with.
+    pub config: EntryConfig,
+    /// State folded from the log.
+    pub state: Arc<SharedState>,
+    /// Appends to the log.
+    pub committer: LogCommitter,
+    /// Reads of the log.
+    pub log: LogClient,
+    /// Items and results by offset.
+    pub items: ItemReader,
+    /// Calls to upstreams.
+    pub client: HttpClient,
+    /// The upstreams.
+    pub upstreams: UpstreamTable,
+    /// The other instances.
+    pub members: MemberTable,
+    /// Work that a planned stop waits for.
+    pub work: TaskTracker,
+    /// Cancelled when the process ends.
+    pub stop: CancellationToken,
+    caught_up: AtomicBool,
+    leaving: AtomicBool,
+}
+
+impl InstanceContext {
+    /// An instance that has not folded anything yet.
+    pub fn new(
+        config: EntryConfig,
+        log: LogClient,
+        state: Arc<SharedState>,
+        committer: LogCommitter,
+        stop: CancellationToken,
+    ) -> Self {
+        let upstreams = UpstreamTable::new(&config.fleet);
+        Self {
+            items: ItemReader::new(log.clone()),
+            members: MemberTable::default(),
+            client: HttpClient::new(CONNECT_LIMIT),
+            work: TaskTracker::new(),
+            caught_up: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            config,
+            state,
+            committer,
+            log,
+            upstreams,
+            stop,
+        }
+    }
+
+    /// Notes that the log was folded to its head once.
+    pub fn set_caught_up(&self) {
+        self.caught_up.store(true, Ordering::Release);
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Whether the balancer may send new work here.
+    pub fn is_ready(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
+    }
+
+    /// Refuses work before the log was folded. A leaving instance still accepts until the
+    /// balancer has noticed.
+    pub fn check_started(&self) -> Result<()> {
+        if self.caught_up.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        let message = "this instance has not read the log yet";
+        Err(CallError::new(ErrorKind::NotReady, message))
+    }
+
+    /// What this instance says of itself.
+    pub fn report(&self) -> InstanceReport {
+        InstanceReport {
+            instance: self.config.instance.clone(),
+            ready: self.is_ready(),
+            folded: self.state.folded(),
+            revision: self.state.revision(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/item_reader.rs
@@ -0,0 +1,95 @@
+//! Reads items and results from the log by offset, with a small cache of decoded entries.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::{JobId, LogOffset};
+use amaranth_wire::record::{ItemInput, ItemOutcome, LogRecord, RecordBatch};
+
+use crate::log_client::LogClient;
+
+/// Decoded entries that are kept; an entry is at most about a mebibyte.
+const CACHED_ENTRIES: usize = 8;
+
+/// Result of a read.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Reads of entries by offset.
+pub struct ItemReader {
+    log: LogClient,
+    cache: Mutex<VecDeque<(LogOffset, Arc<RecordBatch>)>>,
+}
+
+impl ItemReader {
+    /// A reader with an empty cache.
+    pub fn new(log: LogClient) -> Self {
+        Self {
+            log,
+            cache: Mutex::new(VecDeque::new()),
+        }
+    }
+
+    /// The items of a job in one entry, starting with that of index `first`.
+    pub async fn items(
+        &self,
+        offset: LogOffset,
+        job: &JobId,
+        first: u32,
+    ) -> Result<Vec<ItemInput>> {
+        let batch = self.batch(offset).await?;
+        let found = batch.records.iter().find_map(|record| match record {
+            LogRecord::JobItems {
+                job: j,
+                first: f,
+                items,
+                ..
+            } if j == job && *f == first => Some(items.clone()),
+            _ => None,
+        });
+        found.ok_or_else(|| CallError::new(ErrorKind::Internal, "items missing on the log"))
+    }
+
+    /// The results of a job in one entry, in order.
+    pub async fn outcomes(&self, offset: LogOffset, job: &JobId) -> Result<Vec<ItemOutcome>> {
+        let batch = self.batch(offset).await?;
+        let records = batch.records.iter();
+        let outcomes = records.filter_map(|record| match record {
+            LogRecord::ItemsFinished {
+                job: j, outcomes, ..
+            } if j == job => Some(outcomes),
+            _ => None,
+        });
+        Ok(outcomes.flatten().cloned().collect())
+    }
+
+    async fn batch(&self, offset: LogOffset) -> Result<Arc<RecordBatch>> {
+        if let Some(batch) = self.cached(offset) {
+            return Ok(batch);
+        }
+        let unavailable = |message: String| CallError::new(ErrorKind::LogUnavailable, message);
+        let reply = self.log.read_now(offset, 1).await;
+        let reply = reply.map_err(|e| unavailable(e.to_string()))?;
+        let entry = reply.entries.into_iter().find(|e| e.offset == offset);
+        let entry = entry.ok_or_else(|| unavailable(format!("entry {offset} is gone")))?;
+        let batch = RecordBatch::decode(&entry.bytes)
+            .map_err(|e| CallError::new(ErrorKind::Internal, e.to_string()))?;
+        Ok(self.keep(offset, batch))
+    }
+
+    fn cached(&self, offset: LogOffset) -> Option<Arc<RecordBatch>> {
+        let cache = self.cache.lock().expect("not poisoned");
+        let found = cache.iter().find(|(at, _)| *at == offset);
+        found.map(|(_, batch)| batch.clone())
+    }
+
+    fn keep(&self, offset: LogOffset, batch: RecordBatch) -> Arc<RecordBatch> {
+        let batch = Arc::new(batch);
+        let mut cache = self.cache.lock().expect("not poisoned");
+        if cache.len() == CACHED_ENTRIES {
+            cache.pop_front();
+        }
+        cache.push_back((offset, batch.clone()));
+        batch
+    }
+}
--- /dev/null
+++ b/crates/entry/src/membership.rs
@@ -0,0 +1,83 @@
+//! The other instances, by the platform's list.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use amaranth_net::client::{CallLimits, HttpCall, HttpClient};
+use amaranth_net::telemetry::quote;
+use amaranth_wire::id::InstanceId;
+use amaranth_wire::platform::{LIST_PATH, ListedInstance, ListedState};
+use tokio::time::sleep;
+
+use crate::context::InstanceContext;
+
+/// Time between two reads of the list.
+const LIST_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for the list.
+const LIST_LIMIT: Duration = Duration::from_secs(1);
+
+/// The instances that the list shows.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    listed: RwLock<Vec<ListedInstance>>,
+}
+
+impl MemberTable {
+    /// Every listed instance.
+    pub fn all(&self) -> Vec<ListedInstance> {
+        self.listed.read().expect("not poisoned").clone()
+    }
+
+    /// Names of the instances that are listed as live.
+    pub fn live(&self) -> Vec<InstanceId> {
+        let listed = self.listed.read().expect("not poisoned");
+        let live = listed.iter().filter(|row| row.state == ListedState::Live);
+        live.map(|row| row.instance.clone()).collect()
+    }
+
+    fn replace(&self, listed: Vec<ListedInstance>) {
+        *self.listed.write().expect("not poisoned") = listed;
+    }
+}
+
+/// Reports this instance to the list and reads the list until the instance ends.
+pub async fn run(context: Arc<InstanceContext>, address: SocketAddr) {
+    let client = HttpClient::new(LIST_LIMIT);
+    loop {
+        tokio::select! {
+            () = exchange(&context, &client, address) => {}
+            () = context.stop.cancelled() => return,
+        }
+        tokio::select! {
+            () = sleep(LIST_PERIOD) => {}
+            () = context.stop.cancelled() => return,
+        }
+    }
+}
+
+async fn exchange(context: &InstanceContext, client: &HttpClient, address: SocketAddr) {
+    let platform = context.config.fleet.platform.address;
+    let limits = CallLimits::new(LIST_LIMIT);
+    let me = ListedInstance {
+        instance: context.config.instance.clone(),
+        address: address.to_string(),
+        data_centre: context.config.data_centre.clone(),
+        state: match context.is_leaving() {
+            true => ListedState::Leaving,
+            false => ListedState::Live,
+        },
+    };
+    let body = serde_json::to_vec(&me).expect("list rows always encode");
+    let report = HttpCall::post(platform, LIST_PATH).with_body(body);
+    if let Err(e) = client.fetch(report, limits).await {
+        log::debug!("event=list_report_failed error={}", quote(&e.to_string()));
+    }
+    match client
+        .fetch_json(HttpCall::get(platform, LIST_PATH), limits)
+        .await
+    {
+        Ok(listed) => context.members.replace(listed),
+        Err(e) => log::debug!("event=list_read_failed error={}", quote(&e.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,90 @@
+//! Calls of operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::config_state::ConfigDecision;
+use amaranth_net::answer;
+use amaranth_net::body::read_json;
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::{CommandId, ConfigRevision};
+use amaranth_wire::record::LogRecord;
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+use volo_http::response::Response;
+
+use crate::accept::online_limits;
+use crate::context::{InstanceContext, Result};
+
+/// Longest wait until a command is decided.
+const DECIDE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A proposed configuration change.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ConfigCall {
+    command: CommandId,
+    author: String,
+    expected: ConfigRevision,
+    name: String,
+    value: Value,
+}
+
+/// Handles a query for what this instance says of itself.
+pub async fn instance(context: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
+    Ok(answer::json(200, &context.report()))
+}
+
+/// Handles a query for the configuration in force here.
+pub async fn show_config(context: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
+    let config = context.state.config();
+    let values: Map<String, Value> = config
+        .values()
+        .map(|(name, setting)| (name.clone(), setting.value.clone()))
+        .collect();
+    let body = json!({
+        "instance": context.config.instance,
+        "revision": config.revision(),
+        "values": values,
+    });
+    Ok(answer::json(200, &body))
+}
+
+/// Handles a proposed configuration change.
+pub async fn set_config(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    context.check_started()?;
+    let limits = online_limits(&context);
+    let call: ConfigCall = read_json(request.into_body(), limits).await?;
+    let record = LogRecord::ConfigProposed {
+        command: call.command.clone(),
+        author: call.author,
+        expected: call.expected,
+        name: call.name,
+        value: call.value.to_string(),
+    };
+    let offset = context.committer.submit(vec![record], DECIDE_LIMIT).await?;
+    if !context.state.wait_folded(offset, DECIDE_LIMIT).await {
+        let message = "the command is on the log but was not read back in time";
+        return Err(CallError::new(ErrorKind::OutcomeUnknown, message));
+    }
+    decision_answer(&context, &call.command)
+}
+
+fn decision_answer(context: &InstanceContext, command: &CommandId) -> Result<Response> {
+    let config = context.state.config();
+    let conflict = |message: String| Err(CallError::new(ErrorKind::Conflict, message));
+    match config.decision(command) {
+        Some((offset, ConfigDecision::Accepted(revision))) => {
+            let body = json!({"accepted": true, "offset": offset, "revision": revision});
+            Ok(answer::json(200, &body))
+        }
+        Some((_, ConfigDecision::StaleRevision { current })) => {
+            conflict(format!("the revision in force is {current}"))
+        }
+        Some((_, ConfigDecision::Invalid(reason))) => {
+            Err(CallError::new(ErrorKind::InvalidRequest, reason.clone()))
+        }
+        None => conflict("the command was decided too long ago".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,88 @@
+//! Life of one instance: start, run, planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_net::server;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::committer::LogCommitter;
+use crate::config::EntryConfig;
+use crate::context::InstanceContext;
+use crate::log_client::LogClient;
+use crate::shared_state::SharedState;
+use crate::{follower, membership, owner, routes};
+
+/// How long a leaving instance still accepts, so that the balancer can notice.
+const NOTICE_PERIOD: Duration = Duration::from_secs(2);
+/// Longest wait for work in progress; what is left then is cut and logged.
+const FINISH_LIMIT: Duration = Duration::from_secs(60);
+
+/// Result of running an instance.
+pub type Result<T> = std::io::Result<T>;
+
+/// A started instance.
+pub struct RunningInstance {
+    /// Its parts.
+    pub context: Arc<InstanceContext>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Starts an instance on a listener.
+pub fn start(config: EntryConfig, listener: TcpListener) -> Result<RunningInstance> {
+    let address = listener.local_addr()?;
+    let stop = CancellationToken::new();
+    let log = LogClient::new(config.fleet.platform.address);
+    let state = Arc::new(SharedState::new(config.writer));
+    let (committer, commit_loop) = LogCommitter::new(config.writer, log.clone(), state.own_mark());
+    let context = InstanceContext::new(config, log, state, committer, stop.clone());
+    let context = Arc::new(context);
+    tokio::spawn(commit_loop.run(stop.clone()));
+    tokio::spawn(follower::run(context.clone()));
+    tokio::spawn(membership::run(context.clone(), address));
+    tokio::spawn(owner::run(context.clone()));
+    tokio::spawn(server::serve(listener, routes::router(&context), stop));
+    Ok(RunningInstance { context, address })
+}
+
+impl RunningInstance {
+    /// Stops without cutting work: not ready first, then no new work, then the end.
+    pub async fn stop(&self) {
+        let context = &self.context;
+        context.set_leaving();
+        log::info!("event=leaving instance={}", context.config.instance);
+        sleep(NOTICE_PERIOD).await;
+        context.work.close();
+        if timeout(FINISH_LIMIT, context.work.wait()).await.is_err() {
+            let left = context.work.len();
+            log::error!("event=finish_limit_reached cut={left}");
+        }
+        context.stop.cancel();
+        log::info!("event=stopped instance={}", context.config.instance);
+    }
+}
+
+/// Runs one instance until the process is told to stop.
+pub async fn run(config: EntryConfig) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let listener = server::bind(config.listen).await?;
+    let name = config.instance.clone();
+    let instance = start(config, listener)?;
+    println!("listening {}", instance.address);
+    log::info!(
+        "event=listening instance={name} address={}",
+        instance.address
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    instance.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/kernel/src/bitmap.rs
@@ -0,0 +1,55 @@
+//! A fixed-size set of item indexes, one bit each.
+
+/// Bits in one word.
+const WORD_BITS: u32 = 64;
+
+/// A set over `0..len`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemBitmap {
+    words: Vec<u64>,
+    len: u32,
+    ones: u32,
+}
+
+impl ItemBitmap {
+    /// An empty set over `0..len`.
+    pub fn new(len: u32) -> Self {
+        let words = len.div_ceil(WORD_BITS) as usize;
+        Self {
+            words: vec![0; words],
+            len,
+            ones: 0,
+        }
+    }
+
+    /// Adds an index. False if it is out of range or already there.
+    pub fn insert(&mut self, index: u32) -> bool {
+        if index >= self.len || self.contains(index) {
+            return false;
+        }
+        self.words[(index / WORD_BITS) as usize] |= 1 << (index % WORD_BITS);
+        self.ones += 1;
+        true
+    }
+
+    /// Whether the index is in the set.
+    pub fn contains(&self, index: u32) -> bool {
+        let word = self.words.get((index / WORD_BITS) as usize);
+        word.is_some_and(|w| w & (1 << (index % WORD_BITS)) != 0)
+    }
+
+    /// Number of indexes in the set.
+    pub fn count(&self) -> u32 {
+        self.ones
+    }
+
+    /// Whether every index is in the set.
+    pub fn is_full(&self) -> bool {
+        self.ones == self.len
+    }
+
+    /// The indexes that are not in the set, in order.
+    pub fn missing(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..self.len).filter(|&index| !self.contains(index))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/ledger.rs
@@ -0,0 +1,231 @@
+//! Batch jobs folded from the log: which items exist, where they stand, which are finished.
+//!
+//! The ledger keeps an index. Inputs and results stay on the log and are read by offset.
+
+use std::collections::HashMap;
+
+use amaranth_wire::id::{JobId, LogOffset, ShardId, TeamId, TierId};
+use amaranth_wire::message::{JobPhase, JobReport};
+use amaranth_wire::record::{ItemOutcome, LogRecord};
+
+use crate::bitmap::ItemBitmap;
+use crate::hashing::hash_bytes;
+
+/// Number of shards that jobs fall into.
+pub const SHARD_COUNT: u64 = 64;
+/// How long an upload that was never sealed is remembered, in milliseconds of the log's clock.
+const UPLOAD_MEMORY_MS: u64 = 3_600_000;
+/// Lowest status that counts as a failed item.
+const FIRST_FAILED_STATUS: u16 = 400;
+
+/// The shard of a job.
+pub fn shard_of(job: &JobId) -> ShardId {
+    ShardId(hash_bytes(job.as_str().as_bytes(), 0) % SHARD_COUNT)
+}
+
+/// Where consecutive items of a job stand on the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ItemRange {
+    /// Entry that holds them.
+    pub offset: LogOffset,
+    /// Index of the first.
+    pub first: u32,
+    /// How many.
+    pub count: u32,
+}
+
+#[derive(Debug, Clone)]
+struct PendingUpload {
+    ranges: Vec<ItemRange>,
+    time_ms: u64,
+}
+
+/// One accepted job.
+#[derive(Debug, Clone)]
+pub struct JobState {
+    /// Who submitted it.
+    pub team: TeamId,
+    /// The tier that runs it.
+    pub tier: TierId,
+    /// Number of items.
+    pub count: u32,
+    /// SHA-256 of the submitted body, hexadecimal.
+    pub digest: String,
+    /// Submission time, Unix milliseconds.
+    pub submitted_ms: u64,
+    /// When it is due, Unix milliseconds.
+    pub deadline_ms: u64,
+    /// Where its items stand.
+    pub ranges: Vec<ItemRange>,
+    /// Items with a result.
+    pub finished: ItemBitmap,
+    /// Items whose result is a failure.
+    pub failed: u32,
+    /// Entries that hold at least one accepted result, in order.
+    pub result_offsets: Vec<LogOffset>,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+}
+
+impl JobState {
+    /// Progress of the job.
+    pub fn phase(&self) -> JobPhase {
+        match (self.cancelled, self.finished.is_full()) {
+            (true, _) => JobPhase::Cancelled,
+            (false, true) => JobPhase::Completed,
+            (false, false) => JobPhase::InProgress,
+        }
+    }
+
+    /// The job as callers see it.
+    pub fn report(&self, job: &JobId) -> JobReport {
+        JobReport {
+            job: job.clone(),
+            phase: self.phase(),
+            total: self.count,
+            completed: self.finished.count() - self.failed,
+            failed: self.failed,
+        }
+    }
+}
+
+/// The jobs of one shard.
+#[derive(Debug, Clone, Default)]
+pub struct JobLedger {
+    uploads: HashMap<(JobId, u64), PendingUpload>,
+    jobs: HashMap<JobId, JobState>,
+}
+
+impl JobLedger {
+    /// Applies one record; records of other kinds are ignored.
+    pub fn apply(&mut self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
+        match record {
+            LogRecord::JobItems {
+                job,
+                upload,
+                first,
+                items,
+            } => {
+                let range = ItemRange {
+                    offset,
+                    first: *first,
+                    count: items.len() as u32,
+                };
+                self.add_items(job, *upload, range, time_ms);
+            }
+            LogRecord::JobSealed { .. } => self.seal(record),
+            LogRecord::ItemsFinished { job, outcomes, .. } => self.finish(offset, job, outcomes),
+            LogRecord::JobCancelled { job, .. } => self.cancel(job),
+            _ => {}
+        }
+    }
+
+    /// One job.
+    pub fn get(&self, job: &JobId) -> Option<&JobState> {
+        self.jobs.get(job)
+    }
+
+    /// Every job of the shard.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &JobState)> {
+        self.jobs.iter()
+    }
+
+    fn add_items(&mut self, job: &JobId, upload: u64, range: ItemRange, time_ms: u64) {
+        if self.jobs.contains_key(job) {
+            return;
+        }
+        let oldest = time_ms.saturating_sub(UPLOAD_MEMORY_MS);
+        self.uploads.retain(|_, pending| pending.time_ms >= oldest);
+        let pending = self
+            .uploads
+            .entry((job.clone(), upload))
+            .or_insert_with(|| PendingUpload {
+                ranges: Vec::new(),
+                time_ms,
+            });
+        pending.time_ms = time_ms;
+        pending.ranges.push(range);
+    }
+
+    /// Accepts a job if it is the first with its id and all of its items are there.
+    fn seal(&mut self, record: &LogRecord) {
+        let LogRecord::JobSealed {
+            job,
+            upload,
+            team,
+            tier,
+            count,
+            digest,
+            submitted_ms,
+            deadline_ms,
+        } = record
+        else {
+            return;
+        };
+        if self.jobs.contains_key(job) {
+            return;
+        }
+        let Some(pending) = self.uploads.remove(&(job.clone(), *upload)) else {
+            return;
+        };
+        if !covers_all(&pending.ranges, *count) {
+            return;
+        }
+        self.uploads.retain(|(other, _), _| other != job);
+        let state = JobState {
+            team: team.clone(),
+            tier: tier.clone(),
+            count: *count,
+            digest: digest.clone(),
+            submitted_ms: *submitted_ms,
+            deadline_ms: *deadline_ms,
+            ranges: pending.ranges,
+            finished: ItemBitmap::new(*count),
+            failed: 0,
+            result_offsets: Vec::new(),
+            cancelled: false,
+        };
+        self.jobs.insert(job.clone(), state);
+    }
+
+    /// Takes the first result of each item; later ones, and those of a cancelled job, are ignored.
+    fn finish(&mut self, offset: LogOffset, job: &JobId, outcomes: &[ItemOutcome]) {
+        let Some(state) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if state.cancelled {
+            return;
+        }
+        let mut accepted = false;
+        for outcome in outcomes {
+            if !state.finished.insert(outcome.index) {
+                continue;
+            }
+            accepted = true;
+            state.failed += u32::from(outcome.status >= FIRST_FAILED_STATUS);
+        }
+        if accepted && state.result_offsets.last() != Some(&offset) {
+            state.result_offsets.push(offset);
+        }
+    }
+
+    fn cancel(&mut self, job: &JobId) {
+        if let Some(state) = self.jobs.get_mut(job)
+            && !state.finished.is_full()
+        {
+            state.cancelled = true;
+        }
+    }
+}
+
+/// Whether the ranges follow each other from 0 to `count`.
+fn covers_all(ranges: &[ItemRange], count: u32) -> bool {
+    let mut next = 0;
+    for range in ranges {
+        if range.first != next {
+            return false;
+        }
+        next += range.count;
+    }
+    next == count
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,12 @@
+//! What every amaranthford program needs around its job: serving and calling over HTTP, clocks,
+//! logs, metrics, command line and exit codes.
+
+pub mod answer;
+pub mod body;
+pub mod cli;
+pub mod client;
+pub mod clock;
+pub mod exit_codes;
+pub mod route;
+pub mod server;
+pub mod telemetry;
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,73 @@
+//! Serving HTTP until told to stop.
+
+use std::io;
+use std::net::SocketAddr;
+
+use futures_util::FutureExt;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use volo::net::conn::Conn;
+use volo::net::incoming::{Incoming, MakeIncoming};
+use volo_http::server::{Router, Server};
+
+/// Result of starting a server.
+pub type Result<T> = io::Result<T>;
+
+/// Accepts connections until its token is cancelled.
+#[derive(Debug)]
+struct StoppableIncoming {
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+}
+
+impl Incoming for StoppableIncoming {
+    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+        if let Some(listener) = &self.listener {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => Some(accepted),
+                () = self.stop.cancelled() => None,
+            };
+            if let Some(accepted) = accepted {
+                let (stream, _) = accepted?;
+                stream.set_nodelay(true)?;
+                return Ok(Some(Conn::from(stream)));
+            }
+        }
+        // The server asks again at once after any answer, so the end is to wait for ever.
+        self.listener = None;
+        std::future::pending().await
+    }
+}
+
+impl MakeIncoming for StoppableIncoming {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> io::Result<Self> {
+        Ok(self)
+    }
+}
+
+/// Opens the listener of a server.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves until the token is cancelled. Signals do not stop it: the process turns them into the
+/// token when its own requests are done.
+pub async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let incoming = StoppableIncoming {
+        listener: Some(listener),
+        stop: stop.clone(),
+    };
+    let hook_stop = stop.clone();
+    let server = Server::new(router)
+        .register_shutdown_hook(move || async move { hook_stop.cancelled().await }.boxed());
+    tokio::select! {
+        result = server.run(incoming) => {
+            if let Err(e) = result {
+                log::error!("event=server_failed error={:?}", e.to_string());
+            }
+        }
+        () = stop.cancelled() => {}
+    }
+}
--- /dev/null
+++ b/crates/net/src/telemetry.rs
@@ -0,0 +1,47 @@
+//! Logs and metrics of a process.
+
+use std::io::Write;
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Starts logging to stderr: one line of key=value pairs for each event, filtered by `RUST_LOG`.
+pub fn init_logs() {
+    let env = env_logger::Env::default().default_filter_or("info,volo=warn,volo_http=warn");
+    let _ = env_logger::Builder::from_env(env)
+        .format(|buf, record| {
+            let time = buf.timestamp_millis();
+            let level = record.level().as_str().to_ascii_lowercase();
+            writeln!(buf, "time={time} level={level} {}", record.args())
+        })
+        .try_init();
+}
+
+/// Starts collecting metrics. Safe to call more than once in one process.
+pub fn init_metrics() {
+    METRICS.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    });
+}
+
+/// The metrics as Prometheus text; empty before [`init_metrics`].
+pub fn render_metrics() -> String {
+    METRICS.get().map_or_else(String::new, |handle| {
+        handle.run_upkeep();
+        handle.render()
+    })
+}
+
+/// Quotes a log value if it holds spaces, quotes, equal signs or line breaks.
+pub fn quote(text: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && c != '"' && c != '=';
+    if !text.is_empty() && text.chars().all(plain) {
+        return text.to_owned();
+    }
+    format!("{text:?}")
+}
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,238 @@
+//! The whole settings file of a fleet. Every process reads the same file and is told which
+//! instance it is.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use amaranth_wire::id::{DataCentreId, InstanceId, TeamId, TierId};
+use amaranth_wire::unit::{ByteSize, EventRate, TimeSpan};
+
+use crate::reader::{Result, Section, SettingsError, read};
+use crate::tier::TierSettings;
+use crate::upstream::UpstreamGroup;
+
+/// The platform's services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Address of the log and the list; port 0 where a stand-in is started for them.
+    pub address: SocketAddr,
+    /// Appends that the log takes from the whole fleet.
+    pub append_rate: EventRate,
+    /// How long the log keeps records.
+    pub retention: TimeSpan,
+}
+
+/// One instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceSettings {
+    /// Its name.
+    pub name: InstanceId,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// Where it listens.
+    pub listen: SocketAddr,
+}
+
+/// Limits on what callers send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BodySettings {
+    /// Largest body of an online request.
+    pub online: ByteSize,
+    /// Largest body of a batch.
+    pub batch: ByteSize,
+    /// Largest line of a batch.
+    pub item: ByteSize,
+    /// Longest wait for a body.
+    pub time: TimeSpan,
+}
+
+/// A team whose callers share a quota. Without any, callers need no key and are one team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamSettings {
+    /// Its name.
+    pub name: TeamId,
+    /// SHA-256 of its key, hexadecimal.
+    pub key_sha256: String,
+}
+
+/// The whole file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSettings {
+    /// Name of the fleet.
+    pub fleet: String,
+    /// Its data centres.
+    pub data_centres: Vec<DataCentreId>,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// The instances.
+    pub instances: Vec<InstanceSettings>,
+    /// The upstreams, by group.
+    pub upstreams: Vec<UpstreamGroup>,
+    /// The tiers.
+    pub tiers: Vec<TierSettings>,
+    /// The teams.
+    pub teams: Vec<TeamSettings>,
+    /// Limits on bodies.
+    pub bodies: BodySettings,
+}
+
+impl FleetSettings {
+    /// Reads a settings file from its path.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(e) => Err(vec![SettingsError {
+                file,
+                line: 0,
+                column: 0,
+                message: e.to_string(),
+            }]),
+        }
+    }
+
+    /// Reads settings from their text.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        read(file, text, Self::decode)
+    }
+
+    /// The instance of this name.
+    pub fn instance(&self, name: &InstanceId) -> Option<&InstanceSettings> {
+        self.instances.iter().find(|i| i.name == *name)
+    }
+
+    /// The tier of this name.
+    pub fn tier(&self, name: &TierId) -> Option<&TierSettings> {
+        self.tiers.iter().find(|tier| tier.name == *name)
+    }
+
+    /// The upstream group of this name.
+    pub fn group(&self, name: &str) -> Option<&UpstreamGroup> {
+        self.upstreams.iter().find(|group| group.name == name)
+    }
+
+    fn decode(section: &Section<'_, '_>) -> Option<Self> {
+        let fleet = section.text("fleet");
+        let data_centres = section.texts("data_centres");
+        let platform = section.require_section("platform", decode_platform);
+        let instances = section.sections("instances", decode_instance);
+        let upstreams = section.sections("upstreams", UpstreamGroup::decode);
+        let tiers = section.sections("tiers", TierSettings::decode);
+        let teams = section.sections("teams", decode_team);
+        let bodies = section.section("bodies", decode_bodies);
+        let settings = Self {
+            fleet: fleet?,
+            data_centres: data_centres?,
+            platform: platform?,
+            instances: instances?,
+            upstreams: upstreams?,
+            tiers: tiers?,
+            teams: teams?,
+            bodies: bodies.unwrap_or_else(default_bodies),
+        };
+        settings.check(section);
+        Some(settings)
+    }
+
+    fn check(&self, section: &Section<'_, '_>) {
+        report_twice(section, "data_centres", self.data_centres.iter());
+        report_twice(section, "instances", self.instances.iter().map(|i| &i.name));
+        report_twice(section, "upstreams", self.upstreams.iter().map(|g| &g.name));
+        report_twice(section, "tiers", self.tiers.iter().map(|t| &t.name));
+        report_twice(section, "teams", self.teams.iter().map(|t| &t.name));
+        self.check_data_centres(section);
+        for tier in &self.tiers {
+            if self.group(&tier.upstreams).is_none() {
+                let (tier, group) = (&tier.name, &tier.upstreams);
+                let message = format!("tier {tier} names the unknown upstream group {group:?}");
+                section.report_at("tiers", message);
+            }
+        }
+    }
+
+    fn check_data_centres(&self, section: &Section<'_, '_>) {
+        let known: HashSet<_> = self.data_centres.iter().collect();
+        for instance in &self.instances {
+            if !known.contains(&instance.data_centre) {
+                let (name, at) = (&instance.name, &instance.data_centre);
+                let message = format!("instance {name} is in the unknown data centre {at}");
+                section.report_at("instances", message);
+            }
+        }
+        for group in &self.upstreams {
+            for at in group.data_centres.iter().filter(|at| !known.contains(at)) {
+                let message = format!("group {} is in the unknown data centre {at}", group.name);
+                section.report_at("upstreams", message);
+            }
+        }
+    }
+}
+
+fn report_twice<T: std::fmt::Display + Eq + std::hash::Hash>(
+    section: &Section<'_, '_>,
+    key: &'static str,
+    names: impl Iterator<Item = T>,
+) {
+    let mut seen = HashSet::new();
+    for name in names {
+        let message = format!("{name} stands twice in {key:?}");
+        if !seen.insert(name) {
+            section.report_at(key, message);
+        }
+    }
+}
+
+fn decode_platform(section: &Section<'_, '_>) -> Option<PlatformSettings> {
+    let address = section.text("address");
+    let append_rate = section.text_or("append_rate", EventRate::per_second(300));
+    let retention = section.text_or("retention", TimeSpan::from_millis(86_400_000));
+    Some(PlatformSettings {
+        address: address?,
+        append_rate: append_rate?,
+        retention: retention?,
+    })
+}
+
+fn decode_instance(section: &Section<'_, '_>) -> Option<InstanceSettings> {
+    let name = section.text("name");
+    let data_centre = section.text("data_centre");
+    let listen = section.text_or("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    Some(InstanceSettings {
+        name: name?,
+        data_centre: data_centre?,
+        listen: listen?,
+    })
+}
+
+fn decode_team(section: &Section<'_, '_>) -> Option<TeamSettings> {
+    let name = section.text("name");
+    let key_sha256 = section.text("key_sha256");
+    Some(TeamSettings {
+        name: name?,
+        key_sha256: key_sha256?,
+    })
+}
+
+fn default_bodies() -> BodySettings {
+    BodySettings {
+        online: ByteSize::from_bytes(4 << 20),
+        batch: ByteSize::from_bytes(1 << 30),
+        item: ByteSize::from_bytes(256 << 10),
+        time: TimeSpan::from_millis(10_000),
+    }
+}
+
+fn decode_bodies(section: &Section<'_, '_>) -> Option<BodySettings> {
+    let default = default_bodies();
+    let online = section.text_or("online", default.online);
+    let batch = section.text_or("batch", default.batch);
+    let item = section.text_or("item", default.item);
+    let time = section.text_or("time", default.time);
+    Some(BodySettings {
+        online: online?,
+        batch: batch?,
+        item: item?,
+        time: time?,
+    })
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,6 @@
+//! The settings file: JSON with comments, checked whole before anything starts.
+
+pub mod fleet;
+pub mod reader;
+pub mod tier;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/serving.rs
@@ -0,0 +1,55 @@
+//! Start of a stand-in process: listens, says where, serves until a signal.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use amaranth_net::exit_codes::ExitCode;
+use amaranth_net::{cli, server};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use volo_http::server::Router;
+
+/// Runs a server on a runtime of its own until the process is told to stop.
+pub fn run_until_signal<F>(program: &'static str, listen: SocketAddr, start: F) -> ExitCode
+where
+    F: FnOnce(CancellationToken) -> Router,
+{
+    let runtime = tokio::runtime::Runtime::new();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => return cli::fail(program, &e),
+    };
+    let served = runtime.block_on(async {
+        let listener = server::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let router = start(stop.clone());
+        println!("listening {address}");
+        log::info!("event=listening program={program} address={address}");
+        let wait = wait_for_signal();
+        tokio::select! {
+            () = server::serve(listener, router, stop.clone()) => {}
+            () = wait => stop.cancel(),
+        }
+        Ok::<(), std::io::Error>(())
+    });
+    runtime.shutdown_background();
+    match served {
+        Ok(()) => ExitCode::Success,
+        Err(e) => cli::fail(program, &e),
+    }
+}
+
+fn wait_for_signal() -> impl Future<Output = ()> {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    async move {
+        let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,9 @@
+//! Types shared by every amaranthford process: identifiers, units, error kinds, log records and
+//! the messages between processes. No I/O.
+
+pub mod error;
+pub mod id;
+pub mod message;
+pub mod platform;
+pub mod record;
+pub mod unit;
--- /dev/null
+++ b/crates/wire/src/record.rs
@@ -0,0 +1,210 @@
+//! Records of the platform's log and their encoding.
+//!
+//! One append carries one [`RecordBatch`]: MessagePack as the system writes it, or JSON as
+//! operators' own tools may write it.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{
+    CommandId, ConfigRevision, InstanceId, JobId, LeaseEpoch, LogOffset, ShardId, TeamId, TierId,
+    WriterId,
+};
+
+/// Largest encoded batch, in bytes; the log refuses larger appends.
+pub const MAX_BATCH_BYTES: usize = 1 << 20;
+
+/// The result that is kept for one item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemOutcome {
+    /// Position of the item in its job.
+    pub index: u32,
+    /// HTTP status that the upstream gave, or the status of the error kind.
+    pub status: u16,
+    /// How many attempts were made.
+    pub attempts: u8,
+    /// Response body: JSON of the upstream, or the error as JSON.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// One input item as it is kept on the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemInput {
+    /// The caller's name for the item.
+    pub custom_id: String,
+    /// Request body: JSON for the upstream.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// A lease as its holder names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseName {
+    /// What the lease is for.
+    pub shard: ShardId,
+    /// The claim that opened it.
+    pub epoch: LeaseEpoch,
+}
+
+/// One fact on the log. Folds apply records in offset order; the first valid one wins.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogRecord {
+    /// Part of a job's input. Invisible until the job is sealed.
+    JobItems {
+        /// The job.
+        job: JobId,
+        /// Names one upload of the job; a resend through another instance is another upload.
+        upload: u64,
+        /// Index of the first item.
+        first: u32,
+        /// The items, consecutive from `first`.
+        items: Vec<ItemInput>,
+    },
+    /// Accepts a job whose items were all appended before.
+    JobSealed {
+        /// The job.
+        job: JobId,
+        /// The upload whose items count.
+        upload: u64,
+        /// Who submitted it.
+        team: TeamId,
+        /// The tier that runs it.
+        tier: TierId,
+        /// Number of items.
+        count: u32,
+        /// SHA-256 of the submitted body, hexadecimal.
+        digest: String,
+        /// Submission time, Unix milliseconds.
+        submitted_ms: u64,
+        /// When the whole job is due, Unix milliseconds.
+        deadline_ms: u64,
+    },
+    /// Results of items, in any order.
+    ItemsFinished {
+        /// The job.
+        job: JobId,
+        /// Lease under which they ran.
+        epoch: LeaseEpoch,
+        /// The results.
+        outcomes: Vec<ItemOutcome>,
+    },
+    /// Stops a job.
+    JobCancelled {
+        /// The job.
+        job: JobId,
+        /// The command that asked for it.
+        command: CommandId,
+    },
+    /// Asks for the lease of a shard. Valid if the lease is free or expired at this offset.
+    LeaseClaimed {
+        /// The shard.
+        shard: ShardId,
+        /// Who claims it.
+        holder: InstanceId,
+        /// The run of the holder's process.
+        writer: WriterId,
+        /// The epoch that the claimer believes has ended; `None` when never held.
+        after: Option<LeaseEpoch>,
+    },
+    /// Extends leases.
+    LeasesRenewed {
+        /// The leases.
+        leases: Vec<LeaseName>,
+    },
+    /// Ends leases early.
+    LeasesReleased {
+        /// The leases.
+        leases: Vec<LeaseName>,
+    },
+    /// Proposes a configuration change.
+    ConfigProposed {
+        /// The command that asked for it.
+        command: CommandId,
+        /// Who asked.
+        author: String,
+        /// The revision that the author saw.
+        expected: ConfigRevision,
+        /// Name of the setting, such as `tier.shading.queue_limit`.
+        name: String,
+        /// The new value as JSON text.
+        value: String,
+    },
+}
+
+/// The content of one append.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordBatch {
+    /// Who wrote it.
+    pub writer: WriterId,
+    /// Counts the writer's batches from 1. A batch that was seen before is ignored.
+    pub sequence: u64,
+    /// The records, in order.
+    pub records: Vec<LogRecord>,
+}
+
+/// One entry as it is read from the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchEntry {
+    /// Its offset.
+    pub offset: LogOffset,
+    /// When the log took it, Unix milliseconds by the log's clock.
+    pub time_ms: u64,
+    /// Its content.
+    pub batch: RecordBatch,
+}
+
+/// Why an entry's bytes are not a batch.
+#[derive(Debug)]
+pub enum DecodeError {
+    /// Not valid JSON for a batch.
+    Json(serde_json::Error),
+    /// Not valid MessagePack for a batch.
+    MessagePack(rmp_serde::decode::Error),
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Json(e) => write!(f, "not a JSON record batch: {e}"),
+            Self::MessagePack(e) => write!(f, "not a MessagePack record batch: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Result of decoding a batch.
+pub type Result<T> = std::result::Result<T, DecodeError>;
+
+impl RecordBatch {
+    /// A batch without records.
+    pub fn new(writer: WriterId, sequence: u64) -> Self {
+        Self {
+            writer,
+            sequence,
+            records: Vec::new(),
+        }
+    }
+
+    /// Replaces the records.
+    pub fn with_records(mut self, records: Vec<LogRecord>) -> Self {
+        self.records = records;
+        self
+    }
+
+    /// The batch as MessagePack.
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("record batches always encode")
+    }
+
+    /// Reads a batch from MessagePack, or from JSON when the bytes start with a brace.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.first() == Some(&b'{') {
+            return serde_json::from_slice(bytes).map_err(DecodeError::Json);
+        }
+        rmp_serde::from_slice(bytes).map_err(DecodeError::MessagePack)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/unit.rs
@@ -0,0 +1,215 @@
+//! Newtypes for time spans, sizes and rates, written with their unit: `250ms`, `64MiB`, `40/s`.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ParseUnitError {
+    /// The text does not start with a number.
+    NoNumber,
+    /// The unit is missing or not one of those listed.
+    UnknownUnit {
+        /// The unit that was given.
+        given: String,
+        /// The units that are understood.
+        expected: &'static str,
+    },
+    /// The quantity does not fit.
+    TooLarge,
+}
+
+impl fmt::Display for ParseUnitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoNumber => f.write_str("expected a whole number followed by a unit"),
+            Self::UnknownUnit { given, expected } => {
+                write!(f, "unknown unit {given:?}, expected one of {expected}")
+            }
+            Self::TooLarge => f.write_str("the quantity is too large"),
+        }
+    }
+}
+
+impl std::error::Error for ParseUnitError {}
+
+/// Result of parsing a quantity.
+pub type Result<T> = std::result::Result<T, ParseUnitError>;
+
+fn split(text: &str) -> Result<(u64, &str)> {
+    let text = text.trim();
+    let end = text
+        .find(|c: char| !c.is_ascii_digit())
+        .unwrap_or(text.len());
+    let number = &text[..end];
+    if number.is_empty() {
+        return Err(ParseUnitError::NoNumber);
+    }
+    let number = number.parse().map_err(|_| ParseUnitError::TooLarge)?;
+    Ok((number, text[end..].trim()))
+}
+
+fn scale(units: &[(&str, u64)], expected: &'static str, text: &str) -> Result<u64> {
+    let (number, unit) = split(text)?;
+    let Some((_, factor)) = units.iter().find(|(name, _)| *name == unit) else {
+        let given = unit.to_owned();
+        return Err(ParseUnitError::UnknownUnit { given, expected });
+    };
+    number.checked_mul(*factor).ok_or(ParseUnitError::TooLarge)
+}
+
+const TIME_UNITS: [(&str, u64); 5] = [
+    ("us", 1),
+    ("ms", 1_000),
+    ("s", 1_000_000),
+    ("min", 60_000_000),
+    ("h", 3_600_000_000),
+];
+const SIZE_UNITS: [(&str, u64); 4] = [
+    ("B", 1),
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+];
+
+/// A length of time with microsecond resolution, such as `250ms`.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct TimeSpan(u64);
+
+impl TimeSpan {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The span in microseconds.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// The span in milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The span as the standard library's type.
+    pub const fn duration(self) -> Duration {
+        Duration::from_micros(self.0)
+    }
+}
+
+impl fmt::Display for TimeSpan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        display_scaled(self.0, &TIME_UNITS, f)
+    }
+}
+
+impl FromStr for TimeSpan {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        scale(&TIME_UNITS, "us, ms, s, min, h", text).map(Self)
+    }
+}
+
+/// A number of bytes, such as `64MiB`.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct ByteSize(u64);
+
+impl ByteSize {
+    /// A size of so many bytes.
+    pub const fn from_bytes(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// The size in bytes.
+    pub const fn as_bytes(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        display_scaled(self.0, &SIZE_UNITS, f)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        scale(&SIZE_UNITS, "B, KiB, MiB, GiB", text).map(Self)
+    }
+}
+
+/// Events per second, such as `40/s`.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct EventRate(u64);
+
+impl EventRate {
+    /// A rate of so many events per second.
+    pub const fn per_second(events: u64) -> Self {
+        Self(events)
+    }
+
+    /// The rate in events per second.
+    pub const fn as_per_second(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for EventRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for EventRate {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        scale(&[("/s", 1)], "/s", text).map(Self)
+    }
+}
+
+macro_rules! text_conversions {
+    ($($name:ident),*) => {$(
+        impl TryFrom<String> for $name {
+            type Error = ParseUnitError;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(quantity: $name) -> String {
+                quantity.to_string()
+            }
+        }
+    )*};
+}
+
+text_conversions!(TimeSpan, ByteSize, EventRate);
+
+/// Writes the quantity in the largest unit that divides it.
+fn display_scaled(value: u64, units: &[(&str, u64)], f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let exact = units
+        .iter()
+        .rev()
+        .find(|(_, factor)| value != 0 && value.is_multiple_of(*factor));
+    let (name, factor) = exact.unwrap_or(&units[0]);
+    write!(f, "{}{name}", value / factor)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! amaranthford.
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,300 @@
+//! Starts and stops the programs for the end-to-end tests.
+
+// Each test file is a crate of its own and uses only a part of this module.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpClient, HttpError};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// Longest wait for something that a test expects to happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const POLL_PERIOD: Duration = Duration::from_millis(50);
+const LIMITS: CallLimits = CallLimits::new(Duration::from_secs(30));
+
+/// One started program. Killed when dropped.
+pub struct TestProcess {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl TestProcess {
+    /// Starts a program and waits until it says where it listens.
+    pub fn start(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{program}: {e}"));
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("a first line");
+        let address = line.trim().strip_prefix("listening ");
+        let address = address.and_then(|text| text.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("{program} said {line:?}"));
+        Self { child, address }
+    }
+
+    /// Sends a signal by name, such as `KILL`, `STOP` or `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the program's end and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child
+            .wait()
+            .expect("the child can be waited for")
+            .code()
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A platform, engines and entry instances as separate processes on loopback.
+pub struct TestFleet {
+    pub platform: TestProcess,
+    pub engines: Vec<TestProcess>,
+    pub entries: BTreeMap<String, TestProcess>,
+    pub client: HttpClient,
+    settings: PathBuf,
+}
+
+impl TestFleet {
+    /// Starts a fleet of so many engines and instances, spread over two data centres.
+    pub async fn start(engines: usize, entries: usize) -> Self {
+        Self::start_with(engines, entries, &["--step", "5ms"], &[]).await
+    }
+
+    /// Starts a fleet with further options for the engines and the platform.
+    pub async fn start_with(
+        engines: usize,
+        entries: usize,
+        engine_args: &[&str],
+        platform_args: &[&str],
+    ) -> Self {
+        let platform = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-platform"), platform_args);
+        let start_engine =
+            |_| TestProcess::start(env!("CARGO_BIN_EXE_amaranth-engine"), engine_args);
+        let engines: Vec<_> = (0..engines).map(start_engine).collect();
+        let names: Vec<_> = (1..=entries).map(|n| format!("entry-{n}")).collect();
+        let settings = write_settings(&platform, &engines, &names);
+        let mut fleet = Self {
+            platform,
+            engines,
+            entries: BTreeMap::new(),
+            client: HttpClient::new(Duration::from_secs(1)),
+            settings,
+        };
+        for name in &names {
+            fleet.start_entry(name);
+        }
+        for name in &names {
+            fleet.wait_ready(name).await;
+        }
+        fleet.wait_listed(entries).await;
+        fleet
+    }
+
+    /// Starts one instance, in place of an earlier run of it.
+    pub fn start_entry(&mut self, name: &str) {
+        let settings = self.settings.to_str().expect("a plain path");
+        let args = ["--settings", settings, "--instance", name];
+        let entry = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-entry"), &args);
+        self.entries.insert(name.to_owned(), entry);
+    }
+
+    /// Address of an instance.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.entries[name].address
+    }
+
+    /// Kills an instance at once.
+    pub fn kill(&mut self, name: &str) {
+        let entry = self.entries.remove(name).expect("the instance runs");
+        entry.signal("KILL");
+    }
+
+    /// Switches faults of the platform on or off.
+    pub async fn platform_faults(&self, faults: Value) {
+        let call = HttpCall::post(self.platform.address, "/faults").with_body(faults.to_string());
+        let (status, _) = self.client.fetch(call, LIMITS).await.expect("an answer");
+        assert_eq!(status, 204);
+    }
+
+    /// A `GET` on an instance.
+    pub async fn get(&self, name: &str, path: &str) -> Result<(u16, Value), HttpError> {
+        let call = HttpCall::get(self.address(name), path);
+        let (status, body) = self.client.fetch(call, LIMITS).await?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    }
+
+    /// A `GET` on an instance whose answer is text.
+    pub async fn get_text(&self, name: &str, path: &str) -> String {
+        let call = HttpCall::get(self.address(name), path);
+        let (_, body) = self.client.fetch(call, LIMITS).await.expect("an answer");
+        String::from_utf8(body.to_vec()).expect("text")
+    }
+
+    /// A `POST` on an instance.
+    pub async fn post(
+        &self,
+        name: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: impl Into<String>,
+    ) -> Result<(u16, Value), HttpError> {
+        let answer = self.open(name, path, headers, body).await?;
+        let status = answer.status();
+        let body = answer.read_all().await?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    }
+
+    /// A `POST` on an instance whose answer is read by the test.
+    pub async fn open(
+        &self,
+        name: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: impl Into<String>,
+    ) -> Result<HttpAnswer, HttpError> {
+        let mut map = HeaderMap::new();
+        for (header, value) in headers {
+            let value = HeaderValue::from_str(value).expect("a plain value");
+            map.insert(HeaderName::from_static(header), value);
+        }
+        let call = HttpCall::post(self.address(name), path)
+            .with_headers(map)
+            .with_body(body.into());
+        self.client.send(call, LIMITS).await
+    }
+
+    /// Waits until an instance is ready.
+    pub async fn wait_ready(&self, name: &str) {
+        let what = format!("{name} is ready");
+        wait_until(&what, async || {
+            matches!(self.get(name, "/readyz").await, Ok((200, _)))
+        })
+        .await;
+    }
+
+    /// Waits until a job has ended and returns its last state as that instance tells it.
+    pub async fn wait_job(&self, name: &str, job: &str) -> Value {
+        let path = format!("/v1/batches/{job}");
+        let mut last = Value::Null;
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Ok((200, view)) = self.get(name, &path).await {
+                last = view;
+            }
+            if last["status"] == "completed" || last["status"] == "cancelled" {
+                return last;
+            }
+            sleep(POLL_PERIOD).await;
+        }
+        panic!("job {job} did not end: {last}");
+    }
+
+    async fn wait_listed(&self, count: usize) {
+        wait_until("every instance is listed", async || {
+            let call = HttpCall::get(self.platform.address, "/list/instances");
+            let listed: Result<Vec<Value>, _> = self.client.fetch_json(call, LIMITS).await;
+            listed.is_ok_and(|listed| listed.len() == count)
+        })
+        .await;
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !holds().await {
+        assert!(start.elapsed() < PATIENCE, "still waiting until {what}");
+        sleep(POLL_PERIOD).await;
+    }
+}
+
+/// Body of a chat completion call.
+pub fn chat(prompt: &str, tokens: u32, stream: bool) -> String {
+    json!({
+        "model": "sketch-llm",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": tokens,
+        "stream": stream,
+    })
+    .to_string()
+}
+
+/// Body of a batch whose prompts are `PREFIX 0`, `PREFIX 1` and so on.
+pub fn batch_lines(prefix: &str, items: usize, tokens: u32) -> String {
+    let line = |index| {
+        let body: Value = serde_json::from_str(&chat(&format!("{prefix} {index}"), tokens, false))
+            .expect("valid JSON");
+        let line = json!({
+            "custom_id": format!("{prefix}-{index}"),
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": body,
+        });
+        format!("{line}\n")
+    };
+    (0..items).map(line).collect()
+}
+
+fn write_settings(platform: &TestProcess, engines: &[TestProcess], names: &[String]) -> PathBuf {
+    let addresses: Vec<_> = engines.iter().map(|e| e.address.to_string()).collect();
+    let centre = |index: usize| {
+        if index.is_multiple_of(2) {
+            "dc-a"
+        } else {
+            "dc-b"
+        }
+    };
+    let instances: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| json!({"name": name, "data_centre": centre(index)}))
+        .collect();
+    let settings = json!({
+        "fleet": "test",
+        "data_centres": ["dc-a", "dc-b"],
+        "platform": {"address": platform.address.to_string()},
+        "instances": instances,
+        "upstreams": [{
+            "name": "sketch-llm",
+            "kind": "engine",
+            "model": "sketch-llm",
+            "count": engines.len(),
+            "addresses": addresses,
+            "data_centres": ["dc-a", "dc-b"],
+        }],
+        "tiers": [{"name": "shading", "upstreams": "sketch-llm", "batch": true}],
+    });
+    let file = format!("settings-{}.jsonc", platform.address.port());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+    std::fs::write(&path, settings.to_string()).expect("settings can be written");
+    path
+}
