--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -10,6 +10,8 @@
 pub const LOG_READ_PATH: &str = "/log/read";
 /// Path of the list of instances: `GET`, or `POST` by an instance about itself.
 pub const LIST_PATH: &str = "/list/instances";
+/// Path of the list of upstreams: `GET`, lagging as the other; `POST` by an upstream about itself.
+pub const UPSTREAM_LIST_PATH: &str = "/list/upstreams";
 
 /// Answer to an append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
