Look up an instance's address by its name

Cause: peers are called by name and the list knows their addresses. Change: one method of the member table. Conclusion: no behaviour changes.

--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -36,6 +36,13 @@
         live.map(|row| row.instance.clone()).collect()
     }
 
+    /// Address of an instance.
+    pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let listed = self.listed.read().expect("not poisoned");
+        let row = listed.iter().find(|row| row.instance == *instance)?;
+        row.address.parse().ok()
+    }
+
     fn replace(&self, listed: Vec<ListedInstance>) {
         *self.listed.write().expect("not poisoned") = listed;
     }
