Fold configuration, plans and decisions together; add the operators' language

Cause: accepted settings lasted only as long as their records, an entry that does not decode left no trace, and operators had no language to ask or act in. Statements are parsed by winnow, verbs and tables are plug-ins, answers name who answered and the offset. Shown failing first: without the check on past offsets three properties fail; without the check on a decided command a_command_acts_once fails; with an unchecked commit a plan ends half done; without the conflict check two plans share an upstream.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -14,7 +14,9 @@
 use crate::config::EntryConfig;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
+use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
+use crate::operator_peers::PeerSights;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -42,6 +44,10 @@
     pub upstreams: UpstreamTable,
     /// The other instances.
     pub members: MemberTable,
+    /// When the other instances were last heard.
+    pub sights: PeerSights,
+    /// Recent entries of the log, for peers that cannot read it.
+    pub relay: LogRelay,
     /// Work that a planned stop waits for.
     pub work: TaskTracker,
     /// Cancelled when the process ends.
@@ -63,6 +69,8 @@
         Self {
             items: ItemReader::new(log.clone()),
             members: MemberTable::default(),
+            sights: PeerSights::default(),
+            relay: LogRelay::default(),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
@@ -88,7 +96,13 @@
 
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.is_drained()
+    }
+
+    /// Whether an operator drains this instance.
+    pub fn is_drained(&self) -> bool {
+        let changes = self.state.changes();
+        changes.core().plans.drains_instance(&self.config.instance)
     }
 
     /// Whether the balancer may send new work here.
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
+use crate::log_relay;
 
 /// Wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -29,13 +30,17 @@
             Ok(reply) => fold_reply(context, &reply),
             Err(e) => {
                 log::debug!("event=log_read_failed error={}", quote(&e.to_string()));
+                log_relay::catch_up(context).await;
                 sleep(RETRY_DELAY).await;
             }
         }
     }
 }
 
-fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+/// Folds what a read gave.
+pub fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+    context.state.lose_before(reply.oldest);
+    context.relay.note_read(reply);
     reply
         .entries
         .iter()
@@ -51,7 +56,8 @@
         Err(e) => {
             let error = quote(&e.to_string());
             log::warn!("event=entry_rejected offset={} error={error}", raw.offset);
-            return context.state.skip(raw.offset);
+            let reason = e.to_string();
+            return context.state.reject(raw.offset, raw.time_ms, &reason);
         }
     };
     let entry = BatchEntry {
--- /dev/null
+++ b/crates/entry/src/log_relay.rs
@@ -0,0 +1,177 @@
+//! Recent entries of the log, passed on to instances that cannot read it.
+//!
+//! Entries keep their offsets and times, so that a fold of relayed entries is the same as one of
+//! the log. A peer that is too far behind for the entries takes the state of configuration and
+//! plans instead.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_kernel::change_state::ChangeSnapshot;
+use amaranth_net::answer;
+use amaranth_net::client::{CallLimits, HttpCall};
+use amaranth_net::clock::steady_ms;
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::LogOffset;
+use amaranth_wire::platform::{RawEntry, ReadReply};
+use serde::Deserialize;
+use volo_http::response::Response;
+
+use crate::context::{InstanceContext, Result};
+use crate::follower;
+
+/// Path of the relay: `GET`, `from` in the query, [`ReadReply`].
+pub const PEER_LOG_PATH: &str = "/peer/log";
+/// Path of the state of configuration and plans: `GET`, [`ChangeSnapshot`].
+pub const PEER_CHANGES_PATH: &str = "/peer/changes";
+/// Most bytes of entries that are kept for peers.
+const KEPT_BYTES: usize = 8 << 20;
+/// Most bytes of entries in one answer.
+const ANSWER_BYTES: usize = 1 << 20;
+/// Longest wait for a peer.
+const PEER_LIMIT: Duration = Duration::from_millis(500);
+/// Peers that are asked before the log is tried again.
+const PEERS_ASKED: usize = 3;
+
+#[derive(Debug, Default)]
+struct RelayBuffer {
+    entries: VecDeque<RawEntry>,
+    bytes: usize,
+    log_now_ms: u64,
+    at_head_ms: Option<u64>,
+}
+
+/// The entries that were read last.
+#[derive(Debug, Default)]
+pub struct LogRelay {
+    buffer: Mutex<RelayBuffer>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RelayQuery {
+    from: u64,
+}
+
+impl LogRelay {
+    /// Keeps what a read gave.
+    pub fn note_read(&self, reply: &ReadReply) {
+        let mut buffer = self.buffer.lock().expect("not poisoned");
+        buffer.log_now_ms = buffer.log_now_ms.max(reply.now_ms);
+        for entry in &reply.entries {
+            buffer.push(entry);
+        }
+        let next = buffer.entries.back().map(|entry| entry.offset.next());
+        if reply.entries.is_empty() || next >= Some(reply.head) {
+            buffer.at_head_ms = Some(steady_ms());
+        }
+    }
+
+    /// Milliseconds since the head of the log was last seen, by a read or through a peer.
+    pub fn log_age_ms(&self) -> Option<u64> {
+        let buffer = self.buffer.lock().expect("not poisoned");
+        let at_head_ms = buffer.at_head_ms?;
+        Some(steady_ms().saturating_sub(at_head_ms))
+    }
+
+    /// Entries from an offset on; none if the first of them is no longer kept.
+    fn read(&self, from: LogOffset) -> ReadReply {
+        let buffer = self.buffer.lock().expect("not poisoned");
+        let first = buffer.entries.front().map(|entry| entry.offset);
+        let next = buffer.entries.back().map(|entry| entry.offset.next());
+        let reaches = first.is_some_and(|first| first <= from);
+        let skip = first.map_or(0, |first| from.0.saturating_sub(first.0) as usize);
+        let mut bytes = 0;
+        let wanted = buffer.entries.iter().skip(skip).take_while(|entry| {
+            let fits = bytes == 0 || bytes + entry.bytes.len() <= ANSWER_BYTES;
+            bytes += entry.bytes.len();
+            reaches && fits
+        });
+        ReadReply {
+            oldest: first.unwrap_or_default(),
+            head: next.unwrap_or_default(),
+            now_ms: buffer.log_now_ms,
+            entries: wanted.cloned().collect(),
+        }
+    }
+}
+
+impl RelayBuffer {
+    fn push(&mut self, entry: &RawEntry) {
+        let next = self.entries.back().map(|last| last.offset.next());
+        if next.is_some_and(|next| entry.offset < next) {
+            return;
+        }
+        if next.is_some_and(|next| entry.offset > next) {
+            self.entries.clear();
+            self.bytes = 0;
+        }
+        self.bytes += entry.bytes.len();
+        self.entries.push_back(entry.clone());
+        while self.bytes > KEPT_BYTES {
+            let dropped = self.entries.pop_front();
+            self.bytes -= dropped.map_or(0, |entry| entry.bytes.len());
+        }
+    }
+}
+
+/// Handles a peer's query for recent entries.
+pub async fn entries(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let query: RelayQuery = request.query()?;
+    let reply = context.relay.read(LogOffset(query.from));
+    Ok(answer::message_pack(&reply))
+}
+
+/// Handles a peer's query for the state of configuration and plans.
+pub async fn changes(context: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
+    let snapshot = context.state.changes().snapshot();
+    match snapshot {
+        Some(snapshot) => Ok(answer::json(200, &snapshot)),
+        None => {
+            let message = "the state of this instance is not complete";
+            Err(CallError::new(ErrorKind::NotReady, message))
+        }
+    }
+}
+
+/// Asks peers for what the log holds after this instance's offset.
+pub async fn catch_up(context: &InstanceContext) {
+    for (_, address) in context.members.peer_addresses(context, PEERS_ASKED) {
+        if catch_up_from(context, address).await {
+            return;
+        }
+    }
+}
+
+/// Whether the peer had something new.
+async fn catch_up_from(context: &InstanceContext, address: SocketAddr) -> bool {
+    let from = context.state.folded();
+    let limits = CallLimits::new(PEER_LIMIT);
+    let call = HttpCall::get(address, format!("{PEER_LOG_PATH}?from={from}"));
+    let Ok(mut reply) = context
+        .client
+        .fetch_message::<ReadReply>(call, limits)
+        .await
+    else {
+        return false;
+    };
+    if reply.head <= from {
+        return false;
+    }
+    if !reply.entries.is_empty() {
+        // What the peer no longer keeps may still stand on the log.
+        reply.oldest = LogOffset(0);
+        metrics::counter!("amaranth_log_relayed_entries_total")
+            .increment(reply.entries.len() as u64);
+        follower::fold_reply(context, &reply);
+        return true;
+    }
+    let call = HttpCall::get(address, PEER_CHANGES_PATH);
+    let snapshot = context.client.fetch_json::<ChangeSnapshot>(call, limits);
+    match snapshot.await {
+        Ok(snapshot) => context.state.adopt_changes(snapshot),
+        Err(_) => false,
+    }
+}
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -3,19 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_kernel::config_state::ConfigDecision;
+use amaranth_kernel::decision_log::Verdict;
 use amaranth_net::answer;
 use amaranth_net::body::read_json;
 use amaranth_net::route::RouteRequest;
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::{CommandId, ConfigRevision};
 use amaranth_wire::record::LogRecord;
+use amaranth_wire::role::OperatorRole;
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use volo_http::response::Response;
 
 use crate::accept::online_limits;
 use crate::context::{InstanceContext, Result};
+use crate::operator_access::identify;
 
 /// Longest wait until a command is decided.
 const DECIDE_LIMIT: Duration = Duration::from_secs(5);
@@ -37,7 +39,8 @@
 }
 
 /// Handles a query for the configuration in force here.
-pub async fn show_config(context: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
+pub async fn show_config(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    identify(&context, &request)?.require(OperatorRole::Viewer)?;
     let config = context.state.config();
     let values: Map<String, Value> = config
         .values()
@@ -53,12 +56,17 @@
 
 /// Handles a proposed configuration change.
 pub async fn set_config(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let operator = identify(&context, &request)?;
+    operator.require(OperatorRole::Admin)?;
     context.check_started()?;
     let limits = online_limits(&context);
     let call: ConfigCall = read_json(request.into_body(), limits).await?;
     let record = LogRecord::ConfigProposed {
         command: call.command.clone(),
-        author: call.author,
+        author: match context.config.fleet.operators.is_empty() {
+            true => call.author,
+            false => operator.name,
+        },
         expected: call.expected,
         name: call.name,
         value: call.value.to_string(),
@@ -72,19 +80,17 @@
 }
 
 fn decision_answer(context: &InstanceContext, command: &CommandId) -> Result<Response> {
-    let config = context.state.config();
+    let changes = context.state.changes();
     let conflict = |message: String| Err(CallError::new(ErrorKind::Conflict, message));
-    match config.decision(command) {
-        Some((offset, ConfigDecision::Accepted(revision))) => {
+    let Some(decision) = changes.core().decisions.get(command) else {
+        return conflict("the command was decided too long ago".to_owned());
+    };
+    match &decision.verdict {
+        Verdict::Accepted { revision } => {
+            let offset = decision.offset;
             let body = json!({"accepted": true, "offset": offset, "revision": revision});
             Ok(answer::json(200, &body))
         }
-        Some((_, ConfigDecision::StaleRevision { current })) => {
-            conflict(format!("the revision in force is {current}"))
-        }
-        Some((_, ConfigDecision::Invalid(reason))) => {
-            Err(CallError::new(ErrorKind::InvalidRequest, reason.clone()))
-        }
-        None => conflict("the command was decided too long ago".to_owned()),
+        Verdict::Rejected { reason } => conflict(reason.clone()),
     }
 }
--- /dev/null
+++ b/crates/entry/src/operator_access.rs
@@ -0,0 +1,67 @@
+//! Who an operator call comes from, and whether the role allows it.
+
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::role::OperatorRole;
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+
+use crate::context::{InstanceContext, Result};
+
+/// Name of whoever calls a fleet whose settings name no operators.
+const ANYONE: &str = "anyone";
+const BEARER: &str = "Bearer ";
+
+/// Who calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorIdentity {
+    /// Name in the audit view.
+    pub name: String,
+    /// What the operator may do.
+    pub role: OperatorRole,
+}
+
+impl OperatorIdentity {
+    /// Refuses what the role does not allow.
+    pub fn require(&self, role: OperatorRole) -> Result<()> {
+        if self.role >= role {
+            return Ok(());
+        }
+        let message = format!("this needs the role {role}, {} is {}", self.name, self.role);
+        Err(CallError::new(ErrorKind::Forbidden, message))
+    }
+}
+
+/// Finds the operator by the key in the `authorization` header. Every key is compared, each in
+/// constant time.
+pub fn identify(context: &InstanceContext, request: &RouteRequest) -> Result<OperatorIdentity> {
+    let operators = &context.config.fleet.operators;
+    if operators.is_empty() {
+        return Ok(OperatorIdentity {
+            name: ANYONE.to_owned(),
+            role: OperatorRole::Admin,
+        });
+    }
+    let unauthorized = |message| CallError::new(ErrorKind::Unauthorized, message);
+    let key = request
+        .header("authorization")
+        .and_then(|value| value.strip_prefix(BEARER));
+    let key = key.ok_or_else(|| unauthorized("operator calls need a key"))?;
+    let digest = hex(&Sha256::digest(key.as_bytes()));
+    let mut found = None;
+    for operator in operators {
+        let same: Choice = operator.key_sha256.as_bytes().ct_eq(digest.as_bytes());
+        if bool::from(same) {
+            found = Some(operator);
+        }
+    }
+    let operator = found.ok_or_else(|| unauthorized("the key belongs to no operator"))?;
+    Ok(OperatorIdentity {
+        name: operator.name.clone(),
+        role: operator.role,
+    })
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/entry/src/operator_query.rs
@@ -0,0 +1,217 @@
+//! Queries of operators: each answer says who answered, who did not, and the offset it holds for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::decision_log::{Decision, Verdict};
+use amaranth_kernel::language::query::{QueryResult, QueryRow, ShowQuery, evaluate};
+use amaranth_kernel::language::statement::Statement;
+use amaranth_kernel::language::table::{QueryTable, TableScope, table};
+use amaranth_kernel::language::{self, parse};
+use amaranth_kernel::plan_state::PlanState;
+use amaranth_net::answer;
+use amaranth_net::body::{BodyLimits, read_json};
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::{CommandId, InstanceId, JobId, LogOffset};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use volo_http::response::Response;
+
+use crate::batch_view;
+use crate::context::{InstanceContext, Result};
+use crate::operator_access::identify;
+use crate::operator_peers::{PeerAnswers, PeerQuestion, SilentInstance, ask_all, own_rows};
+
+const QUERY_LIMITS: BodyLimits = BodyLimits {
+    bytes: 64 << 10,
+    time: Duration::from_secs(5),
+};
+
+/// A query as it is sent.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct QueryCall {
+    text: String,
+}
+
+/// One instance that answered, and how far it was.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredInstance {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The next offset that it would fold.
+    pub folded: LogOffset,
+}
+
+/// Answer to `show`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShowAnswer {
+    /// The rows.
+    pub result: QueryResult,
+    /// Every entry before this offset is reflected in every row.
+    pub offset: LogOffset,
+    /// Milliseconds since the answering instance last saw the head of the log; `None` if never.
+    pub log_age_ms: Option<u64>,
+    /// Whether the rows are those of the log, the same on every instance.
+    pub folded: bool,
+    /// The instances that answered.
+    pub answered: Vec<AnsweredInstance>,
+    /// The instances that did not; their rows are missing.
+    pub silent: Vec<SilentInstance>,
+}
+
+/// Parses a statement of a call.
+pub fn parse_text(text: &str) -> Result<Statement> {
+    parse(text).map_err(|e: language::LanguageError| {
+        CallError::new(ErrorKind::InvalidRequest, e.to_string())
+    })
+}
+
+/// Handles a query.
+pub async fn query(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let operator = identify(&context, &request)?;
+    let call: QueryCall = read_json(request.into_body(), QUERY_LIMITS).await?;
+    let statement = parse_text(&call.text)?;
+    operator.require(statement.role())?;
+    match statement {
+        Statement::Show(query) => Ok(answer::json(200, &show(&context, &query).await?)),
+        Statement::Explain(id) => Ok(answer::json(200, &explain(&context, &id).await)),
+        _ => {
+            let message = "this changes something: send it as a command";
+            Err(CallError::new(ErrorKind::InvalidRequest, message))
+        }
+    }
+}
+
+async fn show(context: &InstanceContext, query: &ShowQuery) -> Result<ShowAnswer> {
+    let table = table(&query.table).ok_or_else(|| {
+        let message = format!("no table is named {:?}", query.table);
+        CallError::new(ErrorKind::InvalidRequest, message)
+    })?;
+    if table.scope == TableScope::Folded {
+        return show_folded(context, query, table);
+    }
+    let question = PeerQuestion {
+        table: Some(table.name.to_owned()),
+    };
+    let answers = ask_all(context, &question).await;
+    Ok(merge(context, query, table, answers))
+}
+
+/// Answers from the fold. An instance that never saw the head of the log can't.
+fn show_folded(
+    context: &InstanceContext,
+    query: &ShowQuery,
+    table: &QueryTable,
+) -> Result<ShowAnswer> {
+    if !context.state.changes().is_complete() {
+        let message = "this instance has not read enough of the log; ask another";
+        return Err(CallError::new(ErrorKind::NotReady, message));
+    }
+    let question = PeerQuestion {
+        table: Some(table.name.to_owned()),
+    };
+    let own = own_rows(context, &question);
+    let answers = PeerAnswers {
+        answered: vec![own],
+        silent: Vec::new(),
+    };
+    Ok(merge(context, query, table, answers))
+}
+
+fn merge(
+    context: &InstanceContext,
+    query: &ShowQuery,
+    table: &QueryTable,
+    answers: PeerAnswers,
+) -> ShowAnswer {
+    let answered = answers.answered.iter();
+    let answered: Vec<_> = answered
+        .map(|rows| AnsweredInstance {
+            instance: rows.instance.clone(),
+            folded: rows.folded,
+        })
+        .collect();
+    let offset = answered.iter().map(|row| row.folded).min();
+    let rows: Vec<QueryRow> = answers.answered.into_iter().flat_map(|a| a.rows).collect();
+    ShowAnswer {
+        result: evaluate(query, table.fields, rows),
+        offset: offset.unwrap_or_default(),
+        log_age_ms: context.relay.log_age_ms(),
+        folded: table.scope == TableScope::Folded,
+        answered,
+        silent: answers.silent,
+    }
+}
+
+/// What is known of an id: a batch, a plan, a command, a request.
+async fn explain(context: &InstanceContext, id: &str) -> Value {
+    let mut found = json!({
+        "id": id,
+        "offset": context.state.folded(),
+        "log_age_ms": context.relay.log_age_ms(),
+    });
+    if let Some(batch) = explain_batch(context, id) {
+        found["batch"] = batch;
+    }
+    explain_command(context, id, &mut found);
+    let question = PeerQuestion {
+        table: Some("requests".to_owned()),
+    };
+    let answers = ask_all(context, &question).await;
+    let rows = answers.answered.into_iter().flat_map(|a| a.rows);
+    let is_wanted = |row: &QueryRow| row.get("request").is_some_and(|name| name == id);
+    let requests: Vec<_> = rows.filter(is_wanted).collect();
+    let nothing = ["batch", "plan", "command"]
+        .iter()
+        .all(|key| found.get(*key).is_none());
+    found["known"] = json!(!nothing || !requests.is_empty());
+    found["requests"] = json!(requests);
+    found["silent"] = json!(answers.silent);
+    found
+}
+
+fn explain_batch(context: &InstanceContext, id: &str) -> Option<Value> {
+    let job: JobId = id.parse().ok()?;
+    batch_view::view(context, &job).ok()
+}
+
+fn explain_command(context: &InstanceContext, id: &str, found: &mut Value) {
+    let Ok(command) = id.parse::<CommandId>() else {
+        return;
+    };
+    let changes = context.state.changes();
+    if let Some(decision) = changes.core().decisions.get(&command) {
+        found["command"] = decision_json(decision);
+    }
+    if let Some(plan) = changes.core().plans.get(&command) {
+        found["plan"] = plan_json(plan);
+    }
+}
+
+fn decision_json(decision: &Decision) -> Value {
+    let (outcome, reason) = match &decision.verdict {
+        Verdict::Accepted { .. } => ("accepted", None),
+        Verdict::Rejected { reason } => ("rejected", Some(reason)),
+    };
+    json!({
+        "text": decision.text,
+        "author": decision.author,
+        "offset": decision.offset,
+        "time_ms": decision.time_ms,
+        "outcome": outcome,
+        "reason": reason,
+    })
+}
+
+fn plan_json(plan: &PlanState) -> Value {
+    json!({
+        "text": plan.spec.to_string(),
+        "author": plan.author,
+        "state": plan.phase,
+        "reason": plan.reason,
+        "driver_epoch": plan.epoch,
+        "steps": plan.steps,
+    })
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,7 +10,10 @@
 use volo_http::server::route::{any, get, post};
 
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, operator};
+use crate::{
+    accept, batch_intake, batch_view, log_relay, operator, operator_command, operator_peers,
+    operator_query,
+};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
@@ -42,6 +45,30 @@
             get(handler(context, operator::show_config))
                 .post(handler(context, operator::set_config)),
         )
+        .route(
+            "/v1/operator/query",
+            post(handler(context, operator_query::query)),
+        )
+        .route(
+            "/v1/operator/command",
+            post(handler(context, operator_command::command)),
+        )
+        .route(
+            "/v1/operator/commands/{id}",
+            get(handler(context, operator_command::ask_again)),
+        )
+        .route(
+            log_relay::PEER_LOG_PATH,
+            get(handler(context, log_relay::entries)),
+        )
+        .route(
+            log_relay::PEER_CHANGES_PATH,
+            get(handler(context, log_relay::changes)),
+        )
+        .route(
+            operator_peers::PEER_ROWS_PATH,
+            post(handler(context, operator_peers::answer_question)),
+        )
         .route("/livez", get(handler(context, live)))
         .route("/readyz", get(handler(context, ready)))
         .route("/metrics", get(handler(context, metrics)))
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -1,8 +1,10 @@
 //! State folded from the log, in parts with a lock each.
 
+use std::ops::Deref;
 use std::sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
+use amaranth_kernel::change_state::{ChangeSnapshot, ChangeState};
 use amaranth_kernel::config_state::ConfigState;
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
 use amaranth_kernel::lease::LeaseTable;
@@ -21,13 +23,24 @@
     pub offset: LogOffset,
 }
 
+/// The configuration in force, for as long as it is looked at.
+pub struct ConfigGuard<'a>(RwLockReadGuard<'a, ChangeState>);
+
+impl Deref for ConfigGuard<'_> {
+    type Target = ConfigState;
+
+    fn deref(&self) -> &ConfigState {
+        &self.0.core().config
+    }
+}
+
 /// Everything that is folded from the log.
 pub struct SharedState {
     writer: WriterId,
     cursor: Mutex<FoldCursor>,
     jobs: Vec<Mutex<JobLedger>>,
     leases: RwLock<LeaseTable>,
-    config: RwLock<ConfigState>,
+    changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
 }
@@ -41,7 +54,7 @@
             cursor: Mutex::new(FoldCursor::default()),
             jobs: shards.map(|_| Mutex::new(JobLedger::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
-            config: RwLock::new(ConfigState::default()),
+            changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
         }
@@ -51,6 +64,7 @@
     pub fn fold(&self, entry: &BatchEntry) -> EntryVerdict {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         let verdict = cursor.admit(entry);
+        self.fold_changes(verdict, entry);
         if verdict == EntryVerdict::Apply {
             let records = &entry.batch.records;
             records
@@ -62,10 +76,13 @@
         verdict
     }
 
-    /// Moves over an entry that is not a batch.
-    pub fn skip(&self, offset: LogOffset) {
+    /// Moves over an entry that is not a batch and notes why.
+    pub fn reject(&self, offset: LogOffset, time_ms: u64, reason: &str) {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         cursor.skip(offset);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.reject_entry(offset, time_ms, reason);
+        drop(changes);
         self.folded.send_replace(cursor.next());
     }
 
@@ -74,6 +91,11 @@
         *self.folded.borrow()
     }
 
+    /// The offset to fold next, as it changes.
+    pub fn folded_watch(&self) -> watch::Receiver<LogOffset> {
+        self.folded.subscribe()
+    }
+
     /// Waits until the entry at this offset is folded. False when the wait runs out.
     pub async fn wait_folded(&self, offset: LogOffset, limit: Duration) -> bool {
         let mut folded = self.folded.subscribe();
@@ -92,8 +114,32 @@
     }
 
     /// The configuration in force.
-    pub fn config(&self) -> RwLockReadGuard<'_, ConfigState> {
-        self.config.read().expect("not poisoned")
+    pub fn config(&self) -> ConfigGuard<'_> {
+        ConfigGuard(self.changes())
+    }
+
+    /// Configuration, plans and decisions.
+    pub fn changes(&self) -> RwLockReadGuard<'_, ChangeState> {
+        self.changes.read().expect("not poisoned")
+    }
+
+    /// Takes over what a peer knows of configuration and plans, if the peer is ahead.
+    pub fn adopt_changes(&self, snapshot: ChangeSnapshot) -> bool {
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.adopt(snapshot)
+    }
+
+    /// Notes that entries before this offset can no longer be read, and goes on from there.
+    pub fn lose_before(&self, oldest: LogOffset) {
+        let mut cursor = self.cursor.lock().expect("not poisoned");
+        if oldest <= cursor.next() {
+            return;
+        }
+        cursor.jump(oldest);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.lose_before(oldest);
+        drop(changes);
+        self.folded.send_replace(cursor.next());
     }
 
     /// The leases.
@@ -126,10 +172,25 @@
                 let mut leases = self.leases.write().expect("not poisoned");
                 leases.apply(offset, time_ms, record);
             }
-            LogRecord::ConfigProposed { .. } => {
-                let mut config = self.config.write().expect("not poisoned");
-                config.apply(offset, record);
+            // Folded by `fold_changes`, an entry at a time.
+            LogRecord::ConfigProposed { .. }
+            | LogRecord::PlanProposed { .. }
+            | LogRecord::PlanUndone { .. }
+            | LogRecord::PlanStepped { .. }
+            | LogRecord::CommandNoted { .. }
+            | LogRecord::ChangesCarried { .. } => {}
+        }
+    }
+
+    /// Folds configuration, plans and decisions.
+    fn fold_changes(&self, verdict: EntryVerdict, entry: &BatchEntry) {
+        let mut changes = self.changes.write().expect("not poisoned");
+        match verdict {
+            EntryVerdict::Apply => {
+                changes.apply_entry(entry.offset, entry.time_ms, &entry.batch.records);
             }
+            EntryVerdict::Duplicate => changes.skip_entry(entry.offset),
+            EntryVerdict::Past | EntryVerdict::Gap => {}
         }
     }
 
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,9 +1,9 @@
 //! The upstreams of every group and what this instance has in flight there.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
 
 use amaranth_kernel::plugin::routing_policy;
 use amaranth_kernel::routing::{RoutingPolicy, UpstreamView};
@@ -48,6 +48,7 @@
     tier_of_model: HashMap<String, TierSettings>,
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
+    withheld: RwLock<HashSet<UpstreamId>>,
 }
 
 impl UpstreamTable {
@@ -69,9 +70,38 @@
             tier_of_model: models(fleet),
             policy: routing_policy(DEFAULT_POLICY).expect("the default policy is registered"),
             counter: AtomicU64::new(0),
+            withheld: RwLock::new(HashSet::new()),
         }
     }
 
+    /// Replaces the set of upstreams that plans keep new work from.
+    pub fn set_withheld(&self, withheld: HashSet<UpstreamId>) {
+        *self.withheld.write().expect("not poisoned") = withheld;
+    }
+
+    /// Whether a plan keeps new work from an upstream.
+    pub fn is_withheld(&self, upstream: &UpstreamId) -> bool {
+        let withheld = self.withheld.read().expect("not poisoned");
+        withheld.contains(upstream)
+    }
+
+    /// Every upstream with its group and what this instance has in flight there.
+    pub fn all(&self) -> Vec<(String, UpstreamId, SocketAddr, u32)> {
+        let groups = self.groups.iter();
+        let rows = groups.flat_map(|(group, upstreams)| {
+            upstreams.iter().map(|state| {
+                let in_flight = state.in_flight.load(Ordering::Relaxed);
+                (
+                    group.clone(),
+                    state.upstream.clone(),
+                    state.address,
+                    in_flight,
+                )
+            })
+        });
+        rows.collect()
+    }
+
     /// The first tier that serves this model.
     pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
         self.tier_of_model.get(model)
@@ -80,11 +110,13 @@
     /// Picks an upstream of a group, leaving out some, and counts a request there.
     pub fn pick(&self, group: &str, excluded: &[UpstreamId]) -> Option<InFlightGuard> {
         let upstreams = self.groups.get(group)?;
+        let withheld = self.withheld.read().expect("not poisoned");
         let views: Vec<_> = upstreams
             .iter()
             .map(|state| UpstreamView {
                 upstream: state.upstream.clone(),
-                available: !excluded.contains(&state.upstream),
+                available: !excluded.contains(&state.upstream)
+                    && !withheld.contains(&state.upstream),
                 in_flight: state.in_flight.load(Ordering::Relaxed),
                 speed: state.speed,
             })
--- a/crates/kernel/src/cursor.rs
+++ b/crates/kernel/src/cursor.rs
@@ -11,6 +11,10 @@
 /// How many entries are folded between two sweeps of silent writers.
 const SWEEP_EVERY: u64 = 4_096;
 
+/// Writer of batches that are not counted, such as those of operators' own tools. Their records
+/// name commands, which act once by themselves.
+const UNCOUNTED_WRITER: WriterId = WriterId(0);
+
 /// What to do with an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryVerdict {
@@ -51,6 +55,11 @@
         self.next
     }
 
+    /// Goes on at a later offset, because the entries before it can no longer be read.
+    pub fn jump(&mut self, oldest: LogOffset) {
+        self.next = self.next.max(oldest);
+    }
+
     /// Moves over an entry that is not a batch.
     pub fn skip(&mut self, offset: LogOffset) {
         if offset == self.next {
@@ -68,6 +77,9 @@
         }
         self.next = entry.offset.next();
         self.sweep(entry);
+        if entry.batch.writer == UNCOUNTED_WRITER {
+            return EntryVerdict::Apply;
+        }
         let mark = WriterMark {
             sequence: entry.batch.sequence,
             time_ms: entry.time_ms,
--- /dev/null
+++ b/crates/kernel/src/language/mod.rs
@@ -0,0 +1,13 @@
+//! The operators' query and command language: its statements, parser and plug-ins.
+//!
+//! The grammar is in `docs/operators/language.md`.
+
+mod lexer;
+mod parser;
+pub mod plugin;
+pub mod query;
+pub mod statement;
+pub mod table;
+
+pub use lexer::{LanguageError, Result};
+pub use parser::parse;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,10 +2,15 @@
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
 pub mod bitmap;
+pub mod change_state;
 pub mod config_state;
 pub mod cursor;
+pub mod decision_log;
 pub mod hashing;
+pub mod language;
 pub mod lease;
 pub mod ledger;
+pub mod plan_state;
 pub mod plugin;
 pub mod routing;
+pub mod setting_table;
--- /dev/null
+++ b/crates/kernel/src/setting_table.rs
@@ -0,0 +1,214 @@
+//! The closed table of settings that the log may change.
+
+use std::fmt;
+
+use serde_json::Value;
+
+/// What a setting's value must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SettingKind {
+    /// A whole number within bounds, both included.
+    Number {
+        /// Least value.
+        min: u64,
+        /// Greatest value.
+        max: u64,
+    },
+    /// True or false.
+    Flag,
+}
+
+/// One row of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingSpec {
+    /// First part of the full name: `tier`, `team` or `plan`.
+    pub scope: &'static str,
+    /// Last part of the full name.
+    pub name: &'static str,
+    /// A shorter name that operators may use.
+    pub alias: Option<&'static str>,
+    /// What the value must be.
+    pub kind: SettingKind,
+    /// What it does.
+    pub about: &'static str,
+}
+
+const fn number(
+    scope: &'static str,
+    name: &'static str,
+    (min, max): (u64, u64),
+    about: &'static str,
+) -> SettingSpec {
+    SettingSpec {
+        scope,
+        name,
+        alias: None,
+        kind: SettingKind::Number { min, max },
+        about,
+    }
+}
+
+const QUEUE_LIMIT: SettingSpec = SettingSpec {
+    alias: Some("limit"),
+    ..number(
+        "tier",
+        "queue_limit",
+        (0, 100_000),
+        "requests that may wait on one instance",
+    )
+};
+const PAUSED: SettingSpec = SettingSpec {
+    scope: "tier",
+    name: "batch_paused",
+    alias: None,
+    kind: SettingKind::Flag,
+    about: "whether batch items of the tier wait",
+};
+
+/// Every setting that the log may change.
+pub const SETTING_TABLE: [SettingSpec; 9] = [
+    QUEUE_LIMIT,
+    number(
+        "tier",
+        "concurrency_limit",
+        (1, 100_000),
+        "requests in flight at one upstream",
+    ),
+    number(
+        "tier",
+        "batch_reserve",
+        (0, 100_000),
+        "places of an upstream that batch leaves free",
+    ),
+    number(
+        "tier",
+        "kept_s",
+        (1, 2_592_000),
+        "seconds that results of keyed requests are kept",
+    ),
+    PAUSED,
+    number(
+        "team",
+        "queue_share",
+        (1, 1_000),
+        "weight of the team in the fair queue",
+    ),
+    number(
+        "plan",
+        "load_width",
+        (1, 1_000),
+        "engines that load weights at once",
+    ),
+    number(
+        "plan",
+        "keep_percent",
+        (0, 100),
+        "share of a tier's engines that a rollout leaves in service",
+    ),
+    number(
+        "plan",
+        "error_percent",
+        (1, 100),
+        "share of failed requests at which a rollout halts",
+    ),
+];
+
+/// Why a setting is not valid.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SettingError {
+    /// The name is not in the table.
+    UnknownName(String),
+    /// The value is not JSON.
+    NotJson(String),
+    /// The value is of the wrong type or out of bounds.
+    BadValue {
+        /// Full name of the setting.
+        name: String,
+        /// What it must be.
+        kind: SettingKind,
+    },
+}
+
+/// Result of checking a setting.
+pub type Result<T> = std::result::Result<T, SettingError>;
+
+impl fmt::Display for SettingKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Number { min, max } => write!(f, "a whole number from {min} to {max}"),
+            Self::Flag => f.write_str("true or false"),
+        }
+    }
+}
+
+impl fmt::Display for SettingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownName(name) => {
+                let known: Vec<_> = SETTING_TABLE.iter().map(|spec| spec.pattern()).collect();
+                write!(f, "unknown setting {name:?}, expected {}", known.join(", "))
+            }
+            Self::NotJson(e) => write!(f, "the value is not JSON: {e}"),
+            Self::BadValue { name, kind } => write!(f, "{name} must be {kind}"),
+        }
+    }
+}
+
+impl std::error::Error for SettingError {}
+
+impl SettingSpec {
+    /// The setting's full name, with `NAME` where a tier or team is named.
+    pub fn pattern(&self) -> String {
+        match self.scope {
+            "plan" => format!("plan.{}", self.name),
+            scope => format!("{scope}.NAME.{}", self.name),
+        }
+    }
+
+    fn is_named(&self, scope: &str, name: &str) -> bool {
+        self.scope == scope && (self.name == name || self.alias == Some(name))
+    }
+}
+
+/// The full name without aliases, and the row of the table.
+pub fn find_setting(name: &str) -> Result<(String, &'static SettingSpec)> {
+    let unknown = || SettingError::UnknownName(name.to_owned());
+    let (scope, owner, setting) = split_name(name).ok_or_else(unknown)?;
+    let found = SETTING_TABLE.iter().find(|s| s.is_named(scope, setting));
+    let spec = found.ok_or_else(unknown)?;
+    let full = match owner {
+        Some(owner) => format!("{scope}.{owner}.{}", spec.name),
+        None => format!("{scope}.{}", spec.name),
+    };
+    Ok((full, spec))
+}
+
+/// Checks a setting's name and its value as JSON text.
+pub fn check_setting(name: &str, value: &str) -> Result<(String, Value)> {
+    let (name, spec) = find_setting(name)?;
+    let value: Value =
+        serde_json::from_str(value).map_err(|e| SettingError::NotJson(e.to_string()))?;
+    let fits = match spec.kind {
+        SettingKind::Number { min, max } => {
+            value.as_u64().is_some_and(|n| (min..=max).contains(&n))
+        }
+        SettingKind::Flag => value.is_boolean(),
+    };
+    match fits {
+        true => Ok((name, value)),
+        false => Err(SettingError::BadValue {
+            name,
+            kind: spec.kind,
+        }),
+    }
+}
+
+/// Splits `plan.SETTING` or `SCOPE.OWNER.SETTING`; an owner's name may hold dots.
+fn split_name(name: &str) -> Option<(&str, Option<&str>, &str)> {
+    let (scope, rest) = name.split_once('.')?;
+    if scope == "plan" {
+        return Some((scope, None, rest));
+    }
+    let (owner, setting) = rest.rsplit_once('.')?;
+    (!owner.is_empty()).then_some((scope, Some(owner), setting))
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -8,6 +8,7 @@
 use amaranth_wire::id::{DataCentreId, InstanceId, TeamId, TierId};
 use amaranth_wire::unit::{ByteSize, EventRate, TimeSpan};
 
+use crate::operator::OperatorSettings;
 use crate::reader::{Result, Section, SettingsError, read};
 use crate::tier::TierSettings;
 use crate::upstream::UpstreamGroup;
@@ -73,6 +74,8 @@
     pub tiers: Vec<TierSettings>,
     /// The teams.
     pub teams: Vec<TeamSettings>,
+    /// The operators. Without any, operator calls need no key.
+    pub operators: Vec<OperatorSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
 }
@@ -120,6 +123,7 @@
         let upstreams = section.sections("upstreams", UpstreamGroup::decode);
         let tiers = section.sections("tiers", TierSettings::decode);
         let teams = section.sections("teams", decode_team);
+        let operators = section.sections("operators", OperatorSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
         let settings = Self {
             fleet: fleet?,
@@ -129,6 +133,7 @@
             upstreams: upstreams?,
             tiers: tiers?,
             teams: teams?,
+            operators: operators?,
             bodies: bodies.unwrap_or_else(default_bodies),
         };
         settings.check(section);
@@ -141,6 +146,7 @@
         report_twice(section, "upstreams", self.upstreams.iter().map(|g| &g.name));
         report_twice(section, "tiers", self.tiers.iter().map(|t| &t.name));
         report_twice(section, "teams", self.teams.iter().map(|t| &t.name));
+        report_twice(section, "operators", self.operators.iter().map(|o| &o.name));
         self.check_data_centres(section);
         for tier in &self.tiers {
             if self.group(&tier.upstreams).is_none() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! The settings file: JSON with comments, checked whole before anything starts.
 
 pub mod fleet;
+pub mod operator;
 pub mod reader;
 pub mod tier;
 pub mod upstream;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,12 @@
 //! Types shared by every amaranthford process: identifiers, units, error kinds, log records and
 //! the messages between processes. No I/O.
 
+pub mod change;
 pub mod engine;
 pub mod error;
 pub mod id;
 pub mod message;
 pub mod platform;
 pub mod record;
+pub mod role;
 pub mod unit;
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::change::{PlanSpec, PlanStep};
 use crate::id::{
     CommandId, ConfigRevision, InstanceId, JobId, LeaseEpoch, LogOffset, ShardId, TeamId, TierId,
     WriterId,
@@ -132,14 +133,65 @@
         /// The new value as JSON text.
         value: String,
     },
+    /// Asks for a planned change.
+    PlanProposed {
+        /// The command that asked for it; it names the plan.
+        command: CommandId,
+        /// Who asked.
+        author: String,
+        /// What to bring about.
+        spec: PlanSpec,
+    },
+    /// Asks for a plan to go back, or for a drain to end.
+    PlanUndone {
+        /// The command that asked for it.
+        command: CommandId,
+        /// Who asked.
+        author: String,
+        /// The plan.
+        plan: CommandId,
+    },
+    /// One step of a plan.
+    PlanStepped {
+        /// The plan.
+        plan: CommandId,
+        /// Lease under which the step was made.
+        epoch: LeaseEpoch,
+        /// The step.
+        step: PlanStep,
+    },
+    /// Notes a command whose effect is in the other records of the same entry.
+    CommandNoted {
+        /// The command.
+        command: CommandId,
+        /// Who asked.
+        author: String,
+        /// The command as text.
+        text: String,
+    },
+    /// Part of a snapshot of the configuration, plans and decisions, so that they outlast the
+    /// records that made them.
+    ChangesCarried {
+        /// Every entry before this offset is reflected.
+        through: LogOffset,
+        /// Number of the part, from 0.
+        part: u32,
+        /// How many parts there are.
+        parts: u32,
+        /// The part's bytes.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
 }
 
 /// The content of one append.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordBatch {
-    /// Who wrote it.
+    /// Who wrote it; [`WriterId`] 0 for tools that do not count their batches.
+    #[serde(default)]
     pub writer: WriterId,
     /// Counts the writer's batches from 1. A batch that was seen before is ignored.
+    #[serde(default)]
     pub sequence: u64,
     /// The records, in order.
     pub records: Vec<LogRecord>,
