Ask and command through amaranth-ctl, with keys and roles

Cause: operators had two bare paths, no key, no word on who answered. Ruled out: the client naming a new command on each retry, which acts twice when a reply is lost. Conclusion: a test that blocks on the client needs a runtime with two threads for its own gate, else the gate stands still.

--- a/crates/kernel/src/language/mod.rs
+++ b/crates/kernel/src/language/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The grammar is in `docs/operators/language.md`.
 
+pub mod completion;
 mod lexer;
 mod parser;
 pub mod plugin;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -68,6 +68,35 @@
     }
 }
 
+/// What a run of `amaranth-ctl` gave.
+#[derive(Debug)]
+pub struct CtlRun {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl CtlRun {
+    /// The answer to the last statement.
+    pub fn answer(&self) -> Value {
+        let line = self.stdout.lines().last().unwrap_or("");
+        serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON answer: {self:?}"))
+    }
+
+    /// The rows of an answer to `show`, by column.
+    pub fn rows(&self) -> Vec<Value> {
+        let answer = self.answer();
+        let columns = answer["result"]["columns"].as_array().expect("columns");
+        let rows = answer["result"]["rows"].as_array().expect("rows");
+        let by_column = |row: &Value| {
+            let cells = columns.iter().zip(row.as_array().expect("cells"));
+            let cells = cells.map(|(c, v)| (c.as_str().expect("a name").to_owned(), v.clone()));
+            Value::Object(cells.collect())
+        };
+        rows.iter().map(by_column).collect()
+    }
+}
+
 /// A platform, engines and entry instances as separate processes on loopback.
 pub struct TestFleet {
     pub platform: TestProcess,
@@ -121,6 +150,48 @@
         self.entries.insert(name.to_owned(), entry);
     }
 
+    /// Starts one instance with settings that differ from the others'.
+    pub fn start_entry_with(&mut self, name: &str, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("valid JSON");
+        change(&mut settings);
+        let path = self.settings.with_extension(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+        let text = path.to_str().expect("a plain path");
+        let args = ["--settings", text, "--instance", name];
+        let entry = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-entry"), &args);
+        let _ = std::fs::remove_file(path);
+        self.entries.insert(name.to_owned(), entry);
+    }
+
+    /// Appends bytes to the log, as an operators' own tool would.
+    pub async fn publish(&self, bytes: impl Into<Vec<u8>>) -> u64 {
+        let call = HttpCall::post(self.platform.address, "/log/append").with_body(bytes.into());
+        let reply: Value = self
+            .client
+            .fetch_json(call, LIMITS)
+            .await
+            .expect("an answer");
+        reply["offset"].as_u64().expect("an offset")
+    }
+
+    /// Runs statements of the operators' language through `amaranth-ctl`.
+    pub fn ctl(&self, name: &str, args: &[&str]) -> CtlRun {
+        let address = self.address(name).to_string();
+        let output = Command::new(env!("CARGO_BIN_EXE_amaranth-ctl"))
+            .args(["--instance", &address, "--json"])
+            .args(args)
+            .stdin(Stdio::null())
+            .output()
+            .expect("amaranth-ctl runs");
+        let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+        CtlRun {
+            code: output.status.code(),
+            stdout: text(output.stdout),
+            stderr: text(output.stderr),
+        }
+    }
+
     /// Address of an instance.
     pub fn address(&self, name: &str) -> SocketAddr {
         self.entries[name].address
