--- a/crates/net/src/route.rs
+++ b/crates/net/src/route.rs
@@ -2,6 +2,7 @@
 //! [`CallError`].
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use amaranth_wire::error::{CallError, ErrorKind};
@@ -9,6 +10,7 @@
 use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use serde::de::DeserializeOwned;
+use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -22,6 +24,7 @@
 /// A request as handlers get it.
 pub struct RouteRequest {
     params: Vec<String>,
+    peer: Option<SocketAddr>,
     request: Request,
 }
 
@@ -31,6 +34,11 @@
         self.params.get(index).map_or("", String::as_str)
     }
 
+    /// Address of the other end of the connection.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// The query, decoded.
     pub fn query<T: DeserializeOwned>(&self) -> Result<T> {
         let query = self.request.uri().query().unwrap_or("");
@@ -64,16 +72,24 @@
 pub fn handler<S, F, Fut>(
     state: &Arc<S>,
     handle: F,
-) -> impl Fn(PathParamsVec, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static
+) -> impl Fn(PathParamsVec, Address, Request) -> BoxFuture<'static, Response>
++ Clone
++ Send
++ Sync
++ 'static
 where
     S: Send + Sync + 'static,
     F: Fn(Arc<S>, RouteRequest) -> Fut + Copy + Send + Sync + 'static,
     Fut: Future<Output = Result<Response>> + Send + 'static,
 {
     let state = state.clone();
-    move |params, request| {
-        let params = params.iter().map(|(_, value)| value.to_string()).collect();
-        let handled = handle(state.clone(), RouteRequest { params, request });
+    move |params, address, request| {
+        let request = RouteRequest {
+            params: params.iter().map(|(_, value)| value.to_string()).collect(),
+            peer: address.ip_addr().copied(),
+            request,
+        };
+        let handled = handle(state.clone(), request);
         async move { answer::from_result(handled.await) }.boxed()
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,8 @@
 //! Serving HTTP until told to stop.
 
-use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::{fmt, io};
 
 use futures_util::FutureExt;
 use tokio::net::TcpListener;
@@ -13,13 +14,23 @@
 /// Result of starting a server.
 pub type Result<T> = io::Result<T>;
 
+/// Called with the other end's address of each accepted connection.
+pub type AcceptHook = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+
 /// Accepts connections until its token is cancelled.
-#[derive(Debug)]
 struct StoppableIncoming {
     listener: Option<TcpListener>,
+    on_accept: Option<AcceptHook>,
     stop: CancellationToken,
 }
 
+impl fmt::Debug for StoppableIncoming {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = f.debug_struct("StoppableIncoming");
+        debug.field("listener", &self.listener).finish()
+    }
+}
+
 impl Incoming for StoppableIncoming {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         if let Some(listener) = &self.listener {
@@ -28,8 +39,11 @@
                 () = self.stop.cancelled() => None,
             };
             if let Some(accepted) = accepted {
-                let (stream, _) = accepted?;
+                let (stream, peer) = accepted?;
                 stream.set_nodelay(true)?;
+                if let Some(on_accept) = &self.on_accept {
+                    on_accept(peer);
+                }
                 return Ok(Some(Conn::from(stream)));
             }
         }
@@ -55,8 +69,19 @@
 /// Serves until the token is cancelled. Signals do not stop it: the process turns them into the
 /// token when its own requests are done.
 pub async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) {
+    serve_with(listener, router, stop, None).await;
+}
+
+/// Serves like [`serve`] and reports each accepted connection.
+pub async fn serve_with(
+    listener: TcpListener,
+    router: Router,
+    stop: CancellationToken,
+    on_accept: Option<AcceptHook>,
+) {
     let incoming = StoppableIncoming {
         listener: Some(listener),
+        on_accept,
         stop: stop.clone(),
     };
     let hook_stop = stop.clone();
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,197 +1,341 @@
-//! The model engine stand-in: continuous batching with steps that grow longer with more streams.
+//! The model engine stand-in: its state and its step loop.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::time::Duration;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use amaranth_net::answer;
-use amaranth_net::body::{BodyLimits, read_json};
+use amaranth_net::client::HttpClient;
 use amaranth_net::clock::unix_ms;
-use amaranth_net::route::handler;
-use amaranth_wire::error::{CallError, ErrorKind};
-use bytes::Bytes;
-use futures_util::stream;
-use serde::Deserialize;
-use serde_json::json;
-use tokio::time::sleep;
-use volo_http::body::Body;
-use volo_http::response::Response;
-use volo_http::server::Router;
-use volo_http::server::route::{get, post};
-
-use crate::token_text::{token_at, whole_answer};
-
-/// Tokens of an answer whose request names no limit.
-const DEFAULT_TOKENS: u32 = 16;
-const LIMITS: BodyLimits = BodyLimits {
-    bytes: 8 << 20,
-    time: Duration::from_secs(10),
-};
+use amaranth_wire::engine::{EngineLoad, EngineRole, EngineStatus};
+use amaranth_wire::error::{CallError, ErrorKind, RanState};
+use amaranth_wire::id::ModelId;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::engine_batch::{BatchAdmission, BatchSpeed, StreamBatch};
+use crate::engine_orders::OrderBook;
+use crate::engine_stream::{StreamEnd, StreamState};
+use crate::engine_text::{AnswerWriter, CompletionRequest, IMPOSSIBLE_MARK};
+use crate::fault_panel::FaultPanel;
+use crate::load_history::LoadHistory;
+use crate::prefix_cache::CacheLimits;
+
+/// Longest sleep of the step loop while nothing runs.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
+/// How far the step loop may lag behind its own times before it gives up catching up.
+const CATCH_UP: Duration = Duration::from_millis(5);
+/// Named streams whose starts are counted.
+const COUNTED_STREAMS: usize = 1 << 18;
 
 /// How an engine stand-in behaves.
 #[derive(Debug, Clone, PartialEq)]
-pub struct EngineModel {
-    /// Name of the model that it serves.
-    pub model: String,
-    /// Time of one step with a single stream.
-    pub step: Duration,
-    /// Growth of the step for each further stream, as a share of the step.
-    pub step_growth: f64,
-    /// Relative speed; steps are divided by it.
-    pub speed: f64,
+pub struct EngineProfile {
+    /// Its name on the platform's list and in metrics.
+    pub name: String,
+    /// Name of the model that it serves first.
+    pub model: ModelId,
+    /// Version of that model.
+    pub version: String,
+    /// Its speed.
+    pub speed: BatchSpeed,
+    /// Its prefix cache.
+    pub cache: CacheLimits,
+    /// How late load reports are.
+    pub report_lag: Duration,
+    /// How long a named stream is kept without a reader.
+    pub hold: Duration,
+    /// Time to export or import the cache of one KiB of text.
+    pub transfer_per_kib: Duration,
+    /// Time that an order takes, beside the reading of weights.
+    pub order_time: Duration,
+    /// Where weights are read; without it loading only takes the order's time.
+    pub weights: Option<SocketAddr>,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
 }
 
-/// State of the stand-in.
-pub struct EngineState {
-    model: EngineModel,
-    active: AtomicU32,
-    served: AtomicU64,
+impl Default for EngineProfile {
+    fn default() -> Self {
+        Self {
+            name: "engine".to_owned(),
+            model: "sketch-llm".parse().expect("a valid name"),
+            version: "1".to_owned(),
+            speed: BatchSpeed {
+                step: Duration::from_millis(10),
+                step_growth: 0.02,
+                prefill_per_kib: Duration::from_millis(2),
+                prefill_chunk: 8 << 10,
+                speed: 1.0,
+                slots: 16,
+            },
+            cache: CacheLimits {
+                blocks: 4_096,
+                event_lag_ms: 200,
+                event_loss_percent: 5,
+            },
+            report_lag: Duration::from_millis(500),
+            hold: Duration::from_secs(10),
+            transfer_per_kib: Duration::from_millis(1),
+            order_time: Duration::from_millis(200),
+            weights: None,
+            checks_fencing: true,
+        }
+    }
+}
+
+/// What an engine counted since its start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Requests that were taken in.
+    pub requests: u64,
+    /// Requests that were refused or answered with an error.
+    pub refused: u64,
+    /// Tokens produced.
+    pub tokens: u64,
+    /// Streams that were cancelled by a call.
+    pub cancels: u64,
+    /// Streams that were resumed.
+    pub resumes: u64,
+    /// Streams that were exported.
+    pub exports: u64,
+    /// Streams that were imported.
+    pub imports: u64,
+    /// Orders that were carried out.
+    pub orders: u64,
+    /// How often each named stream was started, imports not included.
+    pub started: HashMap<String, u64>,
 }
 
-#[derive(Debug, Deserialize)]
-struct ChatMessage {
-    content: String,
+/// The parts of the state that change together.
+#[derive(Debug)]
+pub struct EngineCore {
+    pub(crate) batch: StreamBatch,
+    pub(crate) named: HashMap<String, Arc<StreamState>>,
+    pub(crate) status: EngineStatus,
+    pub(crate) orders: OrderBook,
+    pub(crate) admission: BatchAdmission,
+    pub(crate) counts: EngineCounts,
+    history: LoadHistory,
+    next_request: u64,
 }
 
-#[derive(Debug, Deserialize)]
-struct ChatRequest {
-    model: String,
-    messages: Vec<ChatMessage>,
-    #[serde(default)]
-    stream: bool,
-    max_tokens: Option<u32>,
+/// State of the stand-in.
+pub struct EngineState {
+    /// How it behaves.
+    pub profile: EngineProfile,
+    /// Its faults.
+    pub panel: Arc<FaultPanel>,
+    pub(crate) client: HttpClient,
+    pub(crate) stop: CancellationToken,
+    core: Mutex<EngineCore>,
+    changed: Notify,
 }
 
-/// Counts a stream as active for as long as it lives.
-struct ActiveStream(Arc<EngineState>);
+impl EngineState {
+    /// An idle engine that serves its first model.
+    pub fn new(profile: EngineProfile, stop: CancellationToken) -> Self {
+        let status = EngineStatus {
+            model: Some(profile.model.clone()),
+            version: profile.version.clone(),
+            adapters: Vec::new(),
+            role: EngineRole::Serve,
+            busy: false,
+            last_order: None,
+            fence: Default::default(),
+            leaving: false,
+        };
+        let core = EngineCore {
+            batch: StreamBatch::new(profile.speed, profile.cache),
+            named: HashMap::new(),
+            status,
+            orders: OrderBook::new(profile.checks_fencing),
+            admission: BatchAdmission::Open,
+            counts: EngineCounts::default(),
+            history: LoadHistory::new(profile.report_lag),
+            next_request: 0,
+        };
+        Self {
+            profile,
+            panel: Arc::default(),
+            client: HttpClient::new(Duration::from_secs(1)),
+            stop,
+            core: Mutex::new(core),
+            changed: Notify::new(),
+        }
+    }
 
-impl ActiveStream {
-    fn new(state: Arc<EngineState>) -> Self {
-        state.active.fetch_add(1, Ordering::Relaxed);
-        Self(state)
+    /// The state, locked.
+    pub(crate) fn core(&self) -> MutexGuard<'_, EngineCore> {
+        self.core.lock().expect("not poisoned")
     }
-}
 
-impl Drop for ActiveStream {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    /// Wakes the step loop.
+    pub(crate) fn wake(&self) {
+        self.changed.notify_one();
     }
-}
 
-impl EngineState {
-    /// An idle engine.
-    pub fn new(model: EngineModel) -> Self {
-        Self {
-            model,
-            active: AtomicU32::new(0),
-            served: AtomicU64::new(0),
+    /// Runs steps until the engine is stopped.
+    pub async fn run(self: Arc<Self>) {
+        let stop = self.stop.clone();
+        tokio::select! {
+            () = self.run_steps() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+
+    async fn run_steps(&self) {
+        let name = self.profile.name.clone();
+        let tokens = metrics::counter!("amaranth_engine_tokens_total", "upstream" => name.clone());
+        let active = metrics::gauge!("amaranth_engine_active_streams", "upstream" => name);
+        let mut due = tokio::time::Instant::now();
+        loop {
+            self.panel.gate.wait_open().await;
+            let Some(step) = self.begin_step() else {
+                active.set(0.0);
+                let _ = timeout(IDLE_PERIOD, self.changed.notified()).await;
+                due = tokio::time::Instant::now();
+                continue;
+            };
+            let now = tokio::time::Instant::now();
+            due = due.max(now.checked_sub(CATCH_UP).unwrap_or(now)) + step;
+            sleep_until(due).await;
+            let (running, produced) = self.finish_step();
+            active.set(running as f64);
+            tokens.absolute(produced);
         }
     }
 
-    fn step_time(&self) -> Duration {
-        let others = self.active.load(Ordering::Relaxed).saturating_sub(1);
-        let factor = 1.0 + self.model.step_growth * f64::from(others);
-        self.model.step.mul_f64(factor / self.model.speed)
+    fn begin_step(&self) -> Option<Duration> {
+        let slow_factor = self.panel.faults().slow_factor;
+        let mut core = self.core();
+        core.expire_streams(self.profile.hold);
+        let admission = core.admission;
+        let step = core.batch.begin_step(admission, slow_factor);
+        core.note_load();
+        step
+    }
+
+    fn finish_step(&self) -> (usize, u64) {
+        let mut core = self.core();
+        let prefill_only = core.status.role == EngineRole::Prefill;
+        core.batch.finish_step(prefill_only, unix_ms());
+        (core.batch.running(), core.batch.produced())
     }
 
-    async fn chat(self: Arc<Self>, body: Body) -> answer::Result<Response> {
-        let request: ChatRequest = read_json(body, LIMITS).await?;
-        if request.model != self.model.model {
-            let message = format!("this engine serves {}", self.model.model);
+    /// Takes in a request as a stream of this name, if any.
+    pub(crate) fn start_stream(
+        &self,
+        request: CompletionRequest,
+        name: Option<String>,
+    ) -> answer::Result<Arc<StreamState>> {
+        let mut core = self.core();
+        let started = core.start_stream(request, name);
+        match &started {
+            Ok(_) => core.counts.requests += 1,
+            Err(_) => core.counts.refused += 1,
+        }
+        drop(core);
+        self.wake();
+        started
+    }
+
+    /// The load report as it was some time ago.
+    pub(crate) fn load(&self) -> EngineLoad {
+        let mut core = self.core();
+        core.note_load();
+        core.history.lagging(unix_ms())
+    }
+}
+
+impl EngineCore {
+    fn start_stream(
+        &mut self,
+        request: CompletionRequest,
+        name: Option<String>,
+    ) -> answer::Result<Arc<StreamState>> {
+        if self.status.role == EngineRole::Decode {
+            let message = "this engine only takes imported streams";
+            return Err(CallError::new(ErrorKind::NotReady, message));
+        }
+        let writer = self.check(&request)?;
+        if let Some(name) = &name {
+            if self.named.contains_key(name) {
+                let message = format!("stream {name} exists");
+                return Err(CallError::new(ErrorKind::InProgress, message));
+            }
+            self.count_start(name);
+        }
+        let stream = Arc::new(StreamState::new(name, request, writer));
+        self.add_stream(&stream);
+        Ok(stream)
+    }
+
+    /// Checks that this engine can answer a request now.
+    pub(crate) fn check(&mut self, request: &CompletionRequest) -> answer::Result<AnswerWriter> {
+        if self.status.leaving {
+            let message = "this engine is leaving";
+            return Err(CallError::new(ErrorKind::NotReady, message));
+        }
+        let model = self.status.model.as_ref();
+        let is_model = model.is_some_and(|model| model.as_str() == request.model);
+        if !is_model && !self.status.adapters.contains(&request.model) {
+            let message = format!("this engine does not serve {:?}", request.model);
             return Err(CallError::new(ErrorKind::UnknownTarget, message));
         }
-        let id = format!("chatcmpl-{}", self.served.fetch_add(1, Ordering::Relaxed));
-        let prompt: Vec<_> = request.messages.into_iter().map(|m| m.content).collect();
-        let prompt = prompt.join("\n");
-        let tokens = request.max_tokens.unwrap_or(DEFAULT_TOKENS);
-        if request.stream {
-            return Ok(self.stream_answer(id, prompt, tokens));
+        if request.prompt.contains(IMPOSSIBLE_MARK) {
+            let message = "this prompt can't be answered";
+            let error = CallError::new(ErrorKind::UpstreamRejected, message);
+            return Err(error.with_ran(RanState::No));
         }
-        let active = ActiveStream::new(self.clone());
-        for _ in 0..tokens {
-            sleep(self.step_time()).await;
+        self.next_request += 1;
+        let id = format!("cmpl-{}", self.next_request);
+        Ok(AnswerWriter::new(request, id, &self.status.version))
+    }
+
+    /// Queues a stream and keeps it under its name.
+    pub(crate) fn add_stream(&mut self, stream: &Arc<StreamState>) {
+        if let Some(name) = &stream.name {
+            self.named.insert(name.clone(), stream.clone());
         }
-        drop(active);
-        let text = whole_answer(&prompt, tokens);
-        Ok(answer::json(
-            200,
-            &self.whole_json(&id, &prompt, &text, tokens),
-        ))
-    }
-
-    fn whole_json(&self, id: &str, prompt: &str, text: &str, tokens: u32) -> serde_json::Value {
-        let prompt_tokens = prompt.split_whitespace().count();
-        json!({
-            "id": id,
-            "object": "chat.completion",
-            "created": unix_ms() / 1_000,
-            "model": self.model.model,
-            "choices": [{
-                "index": 0,
-                "message": {"role": "assistant", "content": text},
-                "finish_reason": "length",
-            }],
-            "usage": {
-                "prompt_tokens": prompt_tokens,
-                "completion_tokens": tokens,
-                "total_tokens": prompt_tokens + tokens as usize,
-            },
-        })
-    }
-
-    fn stream_answer(self: Arc<Self>, id: String, prompt: String, tokens: u32) -> Response {
-        let active = ActiveStream::new(self.clone());
-        let created = unix_ms() / 1_000;
-        let chunks = stream::unfold((0, active), move |(index, active)| {
-            let (state, id, prompt) = (self.clone(), id.clone(), prompt.clone());
-            async move {
-                if index > tokens {
-                    return None;
-                }
-                if index == tokens {
-                    let last = Bytes::from_static(b"data: [DONE]\n\n");
-                    return Some((Ok(frame(last)), (index + 1, active)));
-                }
-                sleep(state.step_time()).await;
-                let finish = (index + 1 == tokens).then_some("length");
-                let chunk = json!({
-                    "id": id,
-                    "object": "chat.completion.chunk",
-                    "created": created,
-                    "model": state.model.model,
-                    "choices": [{
-                        "index": 0,
-                        "delta": {"content": token_at(&prompt, index)},
-                        "finish_reason": finish,
-                    }],
-                });
-                let line = Bytes::from(format!("data: {chunk}\n\n"));
-                Some((Ok(frame(line)), (index + 1, active)))
-            }
-        });
-        answer::stream(200, answer::EVENT_STREAM, Body::from_stream(chunks))
+        self.batch.push(stream.clone());
     }
 
-    fn load(&self) -> Response {
-        let report = json!({
-            "active": self.active.load(Ordering::Relaxed),
-            "served": self.served.load(Ordering::Relaxed),
-        });
-        answer::json(200, &report)
+    fn count_start(&mut self, name: &str) {
+        let started = &mut self.counts.started;
+        if let Some(count) = started.get_mut(name) {
+            *count += 1;
+        } else if started.len() < COUNTED_STREAMS {
+            started.insert(name.to_owned(), 1);
+        }
     }
-}
 
-fn frame(bytes: Bytes) -> http_body::Frame<Bytes> {
-    http_body::Frame::data(bytes)
-}
+    /// Forgets named streams that nobody has read for so long.
+    fn expire_streams(&mut self, hold: Duration) {
+        let Some(time) = Instant::now().checked_sub(hold) else {
+            return;
+        };
+        self.named.retain(|_, stream| {
+            let expired = stream.is_idle_since(time);
+            if expired {
+                stream.end(StreamEnd::Cancelled);
+            }
+            !expired
+        });
+    }
 
-/// The stand-in's paths.
-pub fn router(state: Arc<EngineState>) -> Router {
-    let chat = handler(&state, |state, request| async move {
-        state.chat(request.into_body()).await
-    });
-    let load = handler(&state, |state, _| async move { Ok(state.load()) });
-    Router::new()
-        .route("/v1/chat/completions", post(chat))
-        .route("/engine/load", get(load))
+    fn note_load(&mut self) {
+        let load = EngineLoad {
+            time_ms: unix_ms(),
+            active: self.batch.running() as u32,
+            waiting: self.batch.waiting() as u32,
+            slots: self.batch.slots() as u32,
+            step_us: self.batch.last_step().as_micros() as u64,
+            leaving: self.status.leaving,
+        };
+        self.history.note(load);
+    }
 }
--- a/crates/standin/src/engine_cli.rs
+++ b/crates/standin/src/engine_cli.rs
@@ -9,8 +9,9 @@
 use amaranth_wire::unit::TimeSpan;
 use lexopt::prelude::*;
 
-use crate::engine::{EngineModel, EngineState, router};
-use crate::serving::run_until_signal;
+use crate::engine::{EngineProfile, EngineState};
+use crate::engine_routes::router;
+use crate::serving::{ServedRouter, run_until_signal};
 
 const PROGRAM: &str = "amaranth-engine";
 const HELP: &str = "\
@@ -19,20 +20,35 @@
 Usage: amaranth-engine [OPTIONS]
 
 Options:
-      --listen <IP:PORT>      Where to listen [default: 127.0.0.1:0]
-      --model <NAME>          The model that it serves [default: sketch-llm]
-      --step <TIME>           Time of one step with a single stream [default: 10ms]
-      --step-growth <SHARE>   Growth of the step for each further stream [default: 0.02]
-      --speed <FACTOR>        Relative speed [default: 1.0]
-  -h, --help                  Print help
-  -V, --version               Print version
+      --listen <IP:PORT>        Where to listen [default: 127.0.0.1:0]
+      --name <NAME>             Its name in metrics [default: engine]
+      --model <NAME>            The model that it serves first [default: sketch-llm]
+      --model-version <TEXT>    Version of that model [default: 1]
+      --step <TIME>             Time of one step with a single stream [default: 10ms]
+      --step-growth <SHARE>     Growth of the step for each further stream [default: 0.02]
+      --speed <FACTOR>          Relative speed [default: 1.0]
+      --slots <COUNT>           Streams that run at once; others wait [default: 16]
+      --prefill <TIME>          Time to prefill one KiB of uncached prompt [default: 2ms]
+      --cache-blocks <COUNT>    Blocks of 64 bytes in the prefix cache [default: 4096]
+      --event-lag <TIME>        How late cache events are published [default: 200ms]
+      --event-loss <PERCENT>    Cache events that are lost [default: 5]
+      --report-lag <TIME>       How late load reports are [default: 500ms]
+      --hold <TIME>             How long a named stream is kept without reader [default: 10s]
+      --transfer <TIME>         Time to export or import one KiB of text [default: 1ms]
+      --order-time <TIME>       Time that an order takes [default: 200ms]
+      --weights <IP:PORT>       Weight store that models are read from [default: none]
+      --fencing <WORD>          Old fencing numbers are `checked` or `ignored` [default: checked]
+  -h, --help                    Print help
+  -V, --version                 Print version
+
+Faults are switched on by a POST to /faults.
 
 Exit codes: 0 success, 1 failure, 2 wrong command line.
 ";
 
 struct EngineOptions {
     listen: SocketAddr,
-    engine: EngineModel,
+    profile: EngineProfile,
 }
 
 /// Runs the program.
@@ -41,34 +57,61 @@
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<CliAction<EngineOptions>> {
-    let mut listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut model = "sketch-llm".to_owned();
-    let mut step = TimeSpan::from_millis(10);
-    let mut step_growth = 0.02;
-    let mut speed = 1.0;
+    let mut options = EngineOptions {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        profile: EngineProfile::default(),
+    };
+    let span = |parser: &mut lexopt::Parser| -> Result<_> {
+        Ok(parser.value()?.parse::<TimeSpan>()?.duration())
+    };
     while let Some(arg) = parser.next()? {
+        let profile = &mut options.profile;
         match arg {
-            Long("listen") => listen = parser.value()?.parse()?,
-            Long("model") => model = parser.value()?.string()?,
-            Long("step") => step = parser.value()?.parse()?,
-            Long("step-growth") => step_growth = parser.value()?.parse()?,
-            Long("speed") => speed = parser.value()?.parse()?,
+            Long("listen") => options.listen = parser.value()?.parse()?,
+            Long("name") => profile.name = parser.value()?.string()?,
+            Long("model") => profile.model = parser.value()?.parse()?,
+            Long("model-version") => profile.version = parser.value()?.string()?,
+            Long("step") => profile.speed.step = span(&mut parser)?,
+            Long("step-growth") => profile.speed.step_growth = parser.value()?.parse()?,
+            Long("speed") => profile.speed.speed = parser.value()?.parse()?,
+            Long("slots") => profile.speed.slots = parser.value()?.parse()?,
+            Long("prefill") => profile.speed.prefill_per_kib = span(&mut parser)?,
+            Long("cache-blocks") => profile.cache.blocks = parser.value()?.parse()?,
+            Long("event-lag") => profile.cache.event_lag_ms = span(&mut parser)?.as_millis() as u64,
+            Long("event-loss") => profile.cache.event_loss_percent = parser.value()?.parse()?,
+            Long("report-lag") => profile.report_lag = span(&mut parser)?,
+            Long("hold") => profile.hold = span(&mut parser)?,
+            Long("transfer") => profile.transfer_per_kib = span(&mut parser)?,
+            Long("order-time") => profile.order_time = span(&mut parser)?,
+            Long("weights") => profile.weights = Some(parser.value()?.parse()?),
+            Long("fencing") => {
+                profile.checks_fencing = parser.value()?.parse_with(parse_fencing)?
+            }
             Short('h') | Long("help") => return Ok(CliAction::Help),
             Short('V') | Long("version") => return Ok(CliAction::Version),
             other => return Err(other.unexpected().into()),
         }
     }
-    let engine = EngineModel {
-        model,
-        step: step.duration(),
-        step_growth,
-        speed,
-    };
-    Ok(CliAction::Run(EngineOptions { listen, engine }))
+    Ok(CliAction::Run(options))
+}
+
+fn parse_fencing(text: &str) -> std::result::Result<bool, &'static str> {
+    match text {
+        "checked" => Ok(true),
+        "ignored" => Ok(false),
+        _ => Err("expected `checked` or `ignored`"),
+    }
 }
 
 fn start(options: EngineOptions) -> ExitCode {
     telemetry::init_logs();
-    let state = EngineState::new(options.engine);
-    run_until_signal(PROGRAM, options.listen, |_| router(Arc::new(state)))
+    telemetry::init_metrics();
+    run_until_signal(PROGRAM, options.listen, |stop| {
+        let state = Arc::new(EngineState::new(options.profile, stop));
+        tokio::spawn(state.clone().run());
+        ServedRouter {
+            router: router(&state),
+            on_accept: Some(state.panel.gate.accept_hook()),
+        }
+    })
 }
--- /dev/null
+++ b/crates/standin/src/engine_orders.rs
@@ -0,0 +1,218 @@
+//! Orders to an engine: fencing, idempotence, and the work that they take.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_net::answer;
+use amaranth_net::client::{CallLimits, HttpCall};
+use amaranth_net::clock::unix_ms;
+use amaranth_wire::engine::{EngineOrder, OrderAction, WEIGHTS_PATH};
+use amaranth_wire::error::{CallError, ErrorKind, RanState};
+use amaranth_wire::id::{LeaseEpoch, ModelId};
+use tokio::time::sleep;
+
+use crate::engine::EngineState;
+use crate::engine_batch::BatchAdmission;
+
+/// Order ids that are remembered.
+const KEPT_ORDERS: usize = 1_024;
+/// Longest wait for each piece of a model's weights.
+const WEIGHTS_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two looks whether the batch has run empty.
+const DRAIN_PERIOD: Duration = Duration::from_millis(5);
+
+/// What to do with an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderVerdict {
+    /// Carry it out.
+    Start,
+    /// It was carried out or is being carried out.
+    Known,
+    /// Its fencing number is older than one seen before.
+    Fenced(LeaseEpoch),
+    /// Another order is being carried out.
+    Busy,
+}
+
+/// The orders that an engine was given.
+#[derive(Debug)]
+pub struct OrderBook {
+    checks_fencing: bool,
+    fence: LeaseEpoch,
+    current: Option<String>,
+    done: VecDeque<String>,
+}
+
+impl OrderBook {
+    /// A book without orders.
+    pub fn new(checks_fencing: bool) -> Self {
+        Self {
+            checks_fencing,
+            fence: LeaseEpoch(0),
+            current: None,
+            done: VecDeque::new(),
+        }
+    }
+
+    /// The highest fencing number seen; 0 if they are ignored.
+    pub fn fence(&self) -> LeaseEpoch {
+        self.fence
+    }
+
+    /// Decides on an order and takes note of it.
+    pub fn admit(&mut self, order: &EngineOrder) -> OrderVerdict {
+        if self.checks_fencing {
+            if order.fence < self.fence {
+                return OrderVerdict::Fenced(self.fence);
+            }
+            self.fence = order.fence;
+        }
+        if self.current.as_ref() == Some(&order.id) || self.done.contains(&order.id) {
+            return OrderVerdict::Known;
+        }
+        if self.current.is_some() {
+            return OrderVerdict::Busy;
+        }
+        self.current = Some(order.id.clone());
+        OrderVerdict::Start
+    }
+
+    /// Ends the current order. One that failed may be sent again.
+    pub fn finish(&mut self, succeeded: bool) -> Option<String> {
+        let id = self.current.take()?;
+        if !succeeded {
+            return None;
+        }
+        self.done.push_back(id.clone());
+        if self.done.len() > KEPT_ORDERS {
+            self.done.pop_front();
+        }
+        Some(id)
+    }
+}
+
+impl EngineState {
+    /// Takes an order. It is carried out after this returns; the status tells when it is done.
+    pub(crate) fn take_order(self: &Arc<Self>, order: EngineOrder) -> answer::Result<()> {
+        let mut core = self.core();
+        let verdict = core.orders.admit(&order);
+        core.status.fence = core.orders.fence();
+        match verdict {
+            OrderVerdict::Known => Ok(()),
+            OrderVerdict::Fenced(fence) => {
+                let message = format!("the fencing number {} is below {fence}", order.fence);
+                Err(CallError::new(ErrorKind::Conflict, message))
+            }
+            OrderVerdict::Busy => {
+                let message = "another order is being carried out";
+                Err(CallError::new(ErrorKind::Overloaded, message).with_ran(RanState::No))
+            }
+            OrderVerdict::Start => {
+                core.status.busy = true;
+                drop(core);
+                tokio::spawn(self.clone().carry_out(order));
+                Ok(())
+            }
+        }
+    }
+
+    async fn carry_out(self: Arc<Self>, order: EngineOrder) {
+        let stop = self.stop.clone();
+        let succeeded = tokio::select! {
+            succeeded = self.prepare(&order.action) => succeeded,
+            () = stop.cancelled() => return,
+        };
+        if succeeded && needs_empty_batch(&order.action) {
+            self.drain().await;
+        }
+        let mut core = self.core();
+        if succeeded {
+            core.apply(&order.action);
+        }
+        core.status.busy = false;
+        core.admission = BatchAdmission::Open;
+        if let Some(id) = core.orders.finish(succeeded) {
+            core.status.last_order = Some(id);
+            core.counts.orders += 1;
+        }
+        drop(core);
+        self.wake();
+        log::info!("event=order_ended order={} succeeded={succeeded}", order.id);
+    }
+
+    /// Does the part of an order during which the engine goes on as before.
+    async fn prepare(&self, action: &OrderAction) -> bool {
+        sleep(self.profile.order_time).await;
+        match action {
+            OrderAction::LoadModel { model, version } => self.read_weights(model, version).await,
+            OrderAction::LoadAdapter { adapter } => match adapter.parse() {
+                Ok(adapter) => self.read_weights(&adapter, "adapter").await,
+                Err(_) => false,
+            },
+            _ => true,
+        }
+    }
+
+    async fn read_weights(&self, model: &ModelId, version: &str) -> bool {
+        let Some(store) = self.profile.weights else {
+            return true;
+        };
+        let call = HttpCall::get(store, format!("{WEIGHTS_PATH}/{model}/{version}"));
+        let limits = CallLimits::new(WEIGHTS_LIMIT);
+        let Ok(mut answer) = self.client.send(call, limits).await else {
+            return false;
+        };
+        if answer.status() != 200 {
+            return false;
+        }
+        loop {
+            match answer.next_chunk().await {
+                Ok(Some(_)) => {}
+                Ok(None) => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Lets the running streams end while others wait.
+    async fn drain(&self) {
+        self.core().admission = BatchAdmission::Paused;
+        while !self.core().batch.sweep() {
+            sleep(DRAIN_PERIOD).await;
+        }
+    }
+}
+
+fn needs_empty_batch(action: &OrderAction) -> bool {
+    matches!(
+        action,
+        OrderAction::LoadModel { .. } | OrderAction::SetRole { .. }
+    )
+}
+
+impl crate::engine::EngineCore {
+    fn apply(&mut self, action: &OrderAction) {
+        let status = &mut self.status;
+        match action {
+            OrderAction::LoadModel { model, version } => {
+                status.model = Some(model.clone());
+                status.version = version.clone();
+                status.adapters.clear();
+                self.batch.refuse_waiting();
+                self.batch.cache().clear(unix_ms());
+            }
+            OrderAction::LoadAdapter { adapter } => {
+                if let Err(at) = status.adapters.binary_search(adapter) {
+                    status.adapters.insert(at, adapter.clone());
+                }
+            }
+            OrderAction::UnloadAdapter { adapter } => status.adapters.retain(|a| a != adapter),
+            OrderAction::SetRole { role } => {
+                status.role = *role;
+                self.batch.refuse_waiting();
+            }
+            OrderAction::SetLeaving { leaving } => status.leaving = *leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine_text.rs
@@ -0,0 +1,240 @@
+//! Requests and answers of the engine stand-in, as completion clients know them.
+
+use amaranth_net::clock::unix_ms;
+use amaranth_wire::error::{CallError, ErrorKind};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::token_text::TokenText;
+
+/// Tokens of an answer whose request names no limit.
+const DEFAULT_TOKENS: u32 = 16;
+/// Most tokens of one answer.
+const MAX_TOKENS: u32 = 1 << 20;
+/// A prompt that contains this can never be answered.
+pub const IMPOSSIBLE_MARK: &str = "[impossible]";
+/// The last event of a complete stream.
+pub const DONE_EVENT: &str = "data: [DONE]\n\n";
+
+/// Which of the completion calls was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CompletionKind {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+/// A checked request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletionRequest {
+    /// Which call was made.
+    pub kind: CompletionKind,
+    /// Model or adapter.
+    pub model: String,
+    /// The prompt; several messages are joined by line breaks.
+    pub prompt: String,
+    /// Tokens to generate.
+    pub tokens: u32,
+    /// Whether the answer is a stream.
+    pub stream: bool,
+    /// Whether a stream ends with an event that gives the usage.
+    pub usage: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum TextParts {
+    One(String),
+    Parts(Vec<TextPart>),
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum TextPart {
+    Plain(String),
+    Typed { text: String },
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: TextParts,
+}
+
+#[derive(Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+#[derive(Deserialize)]
+struct RawRequest {
+    model: String,
+    messages: Option<Vec<ChatMessage>>,
+    prompt: Option<TextParts>,
+    #[serde(default)]
+    stream: bool,
+    stream_options: Option<StreamOptions>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+}
+
+impl TextParts {
+    fn join(self) -> String {
+        match self {
+            Self::One(text) => text,
+            Self::Parts(parts) => {
+                let texts = parts.into_iter().map(|part| match part {
+                    TextPart::Plain(text) | TextPart::Typed { text } => text,
+                });
+                texts.collect::<Vec<_>>().join("\n")
+            }
+        }
+    }
+}
+
+/// Reads a request.
+pub fn parse(kind: CompletionKind, body: &[u8]) -> Result<CompletionRequest, CallError> {
+    let invalid = |message: String| CallError::new(ErrorKind::InvalidRequest, message);
+    let raw: RawRequest =
+        serde_json::from_slice(body).map_err(|e| invalid(format!("invalid request: {e}")))?;
+    let prompt = match kind {
+        CompletionKind::Chat => raw.messages.map(|messages| {
+            let contents = messages.into_iter().map(|m| m.content.join());
+            contents.collect::<Vec<_>>().join("\n")
+        }),
+        CompletionKind::Text => raw.prompt.map(TextParts::join),
+    };
+    let missing = match kind {
+        CompletionKind::Chat => "missing field `messages`",
+        CompletionKind::Text => "missing field `prompt`",
+    };
+    let tokens = raw.max_tokens.or(raw.max_completion_tokens);
+    Ok(CompletionRequest {
+        kind,
+        model: raw.model,
+        prompt: prompt.ok_or_else(|| invalid(missing.to_owned()))?,
+        tokens: tokens.unwrap_or(DEFAULT_TOKENS).min(MAX_TOKENS),
+        stream: raw.stream,
+        usage: raw.stream_options.unwrap_or_default().include_usage,
+    })
+}
+
+/// Writes the answer to one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerWriter {
+    kind: CompletionKind,
+    id: String,
+    created_s: u64,
+    model: String,
+    version: String,
+    prompt_tokens: usize,
+    text: TokenText,
+}
+
+impl AnswerWriter {
+    /// A writer for a request that the given version answers.
+    pub fn new(request: &CompletionRequest, id: String, version: &str) -> Self {
+        Self {
+            kind: request.kind,
+            id,
+            created_s: unix_ms() / 1_000,
+            model: request.model.clone(),
+            version: version.to_owned(),
+            prompt_tokens: request.prompt.split_whitespace().count(),
+            text: TokenText::new(&request.prompt),
+        }
+    }
+
+    fn head(&self, object: &str) -> Value {
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created_s,
+            "model": self.model,
+            "system_fingerprint": self.version,
+        })
+    }
+
+    fn usage(&self, tokens: u32) -> Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": self.prompt_tokens + tokens as usize,
+        })
+    }
+
+    /// The whole answer.
+    pub fn whole(&self, tokens: u32, finish_reason: &str) -> Value {
+        let text = self.text.whole(tokens);
+        let (object, mut choice) = match self.kind {
+            CompletionKind::Chat => (
+                "chat.completion",
+                json!({"message": {"role": "assistant", "content": text}}),
+            ),
+            CompletionKind::Text => ("text_completion", json!({"text": text})),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish_reason);
+        let mut answer = self.head(object);
+        answer["choices"] = json!([choice]);
+        answer["usage"] = self.usage(tokens);
+        answer
+    }
+
+    /// The event of one token. Written by hand since it is the engine's hot path: all texts in it
+    /// are free of characters that JSON escapes.
+    pub fn token_event(&self, index: u32, finish_reason: Option<&str>) -> Bytes {
+        let token = self.text.token(index);
+        let choice = match self.kind {
+            CompletionKind::Chat => format!(r#""delta":{{"content":"{token}"}}"#),
+            CompletionKind::Text => format!(r#""text":"{token}""#),
+        };
+        let finish = match finish_reason {
+            Some(reason) => format!("\"{reason}\""),
+            None => "null".to_owned(),
+        };
+        let Self {
+            id,
+            created_s,
+            model,
+            version,
+            ..
+        } = self;
+        let object = self.chunk_object();
+        Bytes::from(format!(
+            "id: {index}\ndata: {{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":{created_s},\
+             \"model\":\"{model}\",\"system_fingerprint\":\"{version}\",\"choices\":[{{\"index\":0,\
+             {choice},\"finish_reason\":{finish}}}]}}\n\n"
+        ))
+    }
+
+    /// The event that ends a stream without a further token.
+    pub fn end_event(&self, finish_reason: &str) -> Bytes {
+        let mut choice = match self.kind {
+            CompletionKind::Chat => json!({"delta": {}}),
+            CompletionKind::Text => json!({"text": ""}),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish_reason);
+        let mut chunk = self.head(self.chunk_object());
+        chunk["choices"] = json!([choice]);
+        Bytes::from(format!("data: {chunk}\n\n"))
+    }
+
+    /// The event that gives the usage.
+    pub fn usage_event(&self, tokens: u32) -> Bytes {
+        let mut chunk = self.head(self.chunk_object());
+        chunk["choices"] = json!([]);
+        chunk["usage"] = self.usage(tokens);
+        Bytes::from(format!("data: {chunk}\n\n"))
+    }
+
+    fn chunk_object(&self) -> &'static str {
+        match self.kind {
+            CompletionKind::Chat => "chat.completion.chunk",
+            CompletionKind::Text => "text_completion",
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,11 +1,21 @@
 //! Small stand-ins for the systems that amaranthford serves, a load and measurement tool, and
 //! everything together in one process. Honest to the published behaviour, without a simulator.
 
+pub mod connection_gate;
 pub mod engine;
+pub mod engine_batch;
 pub mod engine_cli;
+pub mod engine_faults;
+pub mod engine_orders;
+pub mod engine_routes;
+pub mod engine_stream;
+pub mod engine_text;
+pub mod fault_panel;
+pub mod load_history;
 pub mod log_store;
 pub mod platform;
 pub mod platform_cli;
 pub mod platform_faults;
+pub mod prefix_cache;
 pub mod serving;
 pub mod token_text;
--- a/crates/standin/src/platform_cli.rs
+++ b/crates/standin/src/platform_cli.rs
@@ -11,7 +11,7 @@
 
 use crate::log_store::LogLimits;
 use crate::platform::{PlatformState, router};
-use crate::serving::run_until_signal;
+use crate::serving::{ServedRouter, run_until_signal};
 
 const PROGRAM: &str = "amaranth-platform";
 const HELP: &str = "\
@@ -73,5 +73,8 @@
         entry_bytes: ENTRY_BYTES,
     };
     let state = PlatformState::new(limits, options.list_lag.as_millis());
-    run_until_signal(PROGRAM, options.listen, |_| router(Arc::new(state)))
+    run_until_signal(PROGRAM, options.listen, |_| ServedRouter {
+        router: router(Arc::new(state)),
+        on_accept: None,
+    })
 }
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -4,15 +4,24 @@
 use std::net::SocketAddr;
 
 use amaranth_net::exit_codes::ExitCode;
+use amaranth_net::server::AcceptHook;
 use amaranth_net::{cli, server};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use volo_http::server::Router;
 
+/// What a stand-in serves.
+pub struct ServedRouter {
+    /// Its paths.
+    pub router: Router,
+    /// Told of each accepted connection.
+    pub on_accept: Option<AcceptHook>,
+}
+
 /// Runs a server on a runtime of its own until the process is told to stop.
 pub fn run_until_signal<F>(program: &'static str, listen: SocketAddr, start: F) -> ExitCode
 where
-    F: FnOnce(CancellationToken) -> Router,
+    F: FnOnce(CancellationToken) -> ServedRouter,
 {
     let runtime = tokio::runtime::Runtime::new();
     let runtime = match runtime {
@@ -23,12 +32,12 @@
         let listener = server::bind(listen).await?;
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
-        let router = start(stop.clone());
+        let served = start(stop.clone());
         println!("listening {address}");
         log::info!("event=listening program={program} address={address}");
         let wait = wait_for_signal();
         tokio::select! {
-            () = server::serve(listener, router, stop.clone()) => {}
+            () = server::serve_with(listener, served.router, stop.clone(), served.on_accept) => {}
             () = wait => stop.cancel(),
         }
         Ok::<(), std::io::Error>(())
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,289 @@
+//! The engine stand-in over HTTP.
+
+mod support;
+
+use std::time::Duration;
+
+use amaranth_net::client::{CallLimits, HttpClient, HttpError};
+use amaranth_standin::engine::EngineProfile;
+use amaranth_standin::token_text::{token_at, whole_answer};
+use serde_json::{Value, json};
+use support::{ReadEvents, TestStandin, chat};
+
+const CHAT: &str = "/v1/chat/completions";
+const STREAM_ID: &str = "amaranth-stream-id";
+
+fn quick() -> EngineProfile {
+    let mut profile = EngineProfile::default();
+    profile.speed.step = Duration::from_millis(2);
+    profile.order_time = Duration::from_millis(5);
+    profile.report_lag = Duration::ZERO;
+    profile.cache.event_lag_ms = 0;
+    profile.cache.event_loss_percent = 0;
+    profile
+}
+
+fn expected(prompt: &str, from: u32, to: u32) -> Vec<(u32, String)> {
+    (from..to).map(|i| (i, token_at(prompt, i))).collect()
+}
+
+#[tokio::test]
+async fn answers_whole_and_streamed_by_both_calls() {
+    let engine = TestStandin::engine(quick()).await;
+    let (status, answer) = engine.post(CHAT, &chat("roof 17", 5, false)).await;
+    assert_eq!(status, 200);
+    let text = &answer["choices"][0]["message"]["content"];
+    assert_eq!(*text, whole_answer("roof 17", 5));
+    assert_eq!(answer["usage"]["completion_tokens"], 5);
+
+    let body = json!({"model": "sketch-llm", "prompt": "roof 18", "max_tokens": 3});
+    let (status, answer) = engine.post("/v1/completions", &body).await;
+    assert_eq!(status, 200);
+    assert_eq!(answer["choices"][0]["text"], whole_answer("roof 18", 3));
+
+    let mut answer = engine.open(CHAT, &[], &chat("roof 19", 6, true)).await;
+    let events = ReadEvents::read(answer.as_mut().expect("an answer"), usize::MAX).await;
+    assert_eq!(events.tokens, expected("roof 19", 0, 6));
+    assert!(events.done && !events.broken);
+}
+
+#[tokio::test]
+async fn refuses_bad_requests_with_a_kind() {
+    let engine = TestStandin::engine(quick()).await;
+    let cases = [
+        (json!({"model": "sketch-llm"}), 400, "invalid_request"),
+        (
+            json!({"model": "other", "messages": []}),
+            404,
+            "unknown_target",
+        ),
+        (
+            chat("roof [impossible]", 4, false),
+            422,
+            "upstream_rejected",
+        ),
+        (chat("roof [impossible]", 4, true), 422, "upstream_rejected"),
+    ];
+    for (body, status, kind) in cases {
+        let answer = engine.post(CHAT, &body).await;
+        assert_eq!(
+            (answer.0, &answer.1["error"]["kind"]),
+            (status, &json!(kind))
+        );
+        assert_eq!(answer.1["error"]["ran"], "no");
+    }
+    let (status, _) = engine
+        .post("/faults", &json!({"no_such_fault": true}))
+        .await;
+    assert_eq!(status, 400);
+}
+
+#[tokio::test]
+async fn resume_gives_exactly_the_missing_tokens() {
+    let engine = TestStandin::engine(quick()).await;
+    engine.faults(json!({"break_after_tokens": 4})).await;
+    let mut first = engine
+        .open(CHAT, &[(STREAM_ID, "s-1")], &chat("roof 20", 10, true))
+        .await
+        .expect("an answer");
+    let broken = ReadEvents::read(&mut first, usize::MAX).await;
+    assert_eq!(broken.tokens, expected("roof 20", 0, 4));
+    assert!(broken.broken && !broken.done);
+
+    engine.faults(json!({})).await;
+    let mut rest = engine.resume("s-1", "3").await.expect("an answer");
+    let rest = ReadEvents::read(&mut rest, usize::MAX).await;
+    assert_eq!(rest.tokens, expected("roof 20", 4, 10));
+    assert!(rest.done);
+
+    let (_, counts) = engine.get("/engine/counts").await;
+    assert_eq!(
+        (&counts["resumes"], &counts["started"]["s-1"]),
+        (&json!(1), &json!(1))
+    );
+    let again = engine
+        .try_post(CHAT, &[(STREAM_ID, "s-1")], &chat("roof 20", 10, true))
+        .await
+        .expect("an answer");
+    assert_eq!(again.0, 409, "a name is used once");
+}
+
+#[tokio::test]
+async fn a_stream_without_a_reader_ends_after_its_hold_time() {
+    let mut profile = quick();
+    profile.hold = Duration::from_millis(50);
+    profile.speed.step = Duration::from_millis(20);
+    let engine = TestStandin::engine(profile).await;
+    for (headers, kept) in [(vec![(STREAM_ID, "s-1")], true), (vec![], false)] {
+        let mut answer = engine
+            .open(CHAT, &headers, &chat("roof 21", 100_000, true))
+            .await
+            .expect("an answer");
+        ReadEvents::read(&mut answer, 2).await;
+        drop(answer);
+        engine
+            .wait("/engine/load", |load| load["active"] == 0)
+            .await;
+        if kept {
+            let resumed = engine.resume("s-1", "1").await.expect("an answer");
+            assert_eq!(resumed.status(), 404);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_cancelled_stream_frees_its_slot_and_is_not_complete() {
+    let mut profile = quick();
+    profile.speed.slots = 1;
+    let engine = TestStandin::engine(profile).await;
+    let mut first = engine
+        .open(CHAT, &[(STREAM_ID, "s-1")], &chat("roof 22", 100_000, true))
+        .await
+        .expect("an answer");
+    ReadEvents::read(&mut first, 2).await;
+    let waiting = chat("roof 23", 2, false);
+    let (second, cancelled) = tokio::join!(engine.post(CHAT, &waiting), async {
+        engine
+            .wait("/engine/load", |load| load["waiting"] == 1)
+            .await;
+        engine.post("/engine/streams/s-1/cancel", &json!({})).await
+    });
+    assert_eq!(second.0, 200);
+    assert_eq!(
+        (cancelled.0, &cancelled.1["end"]),
+        (200, &json!("cancelled"))
+    );
+    let rest = ReadEvents::read(&mut first, usize::MAX).await;
+    assert_eq!(
+        (rest.finish.as_deref(), rest.done),
+        (Some("cancelled"), false)
+    );
+}
+
+#[tokio::test]
+async fn an_exported_stream_goes_on_at_another_engine() {
+    let (from, to) = (
+        TestStandin::engine(quick()).await,
+        TestStandin::engine(quick()).await,
+    );
+    let mut first = from
+        .open(CHAT, &[(STREAM_ID, "s-1")], &chat("roof 24", 400, true))
+        .await
+        .expect("an answer");
+    let begun = ReadEvents::read(&mut first, 3).await;
+    let exported = from
+        .try_post("/engine/streams/s-1/export", &[], &json!({}))
+        .await
+        .expect("an export");
+    assert_eq!(exported.0, 200);
+    let last = begun.tokens.last().expect("a token").0.to_string();
+    let headers = [(STREAM_ID, "s-1"), ("last-event-id", last.as_str())];
+    let import = amaranth_net::client::HttpCall::post(to.address, "/engine/import")
+        .with_headers(
+            headers
+                .iter()
+                .map(|(name, value)| {
+                    (
+                        http::HeaderName::from_static(name),
+                        http::HeaderValue::from_str(value).expect("a plain value"),
+                    )
+                })
+                .collect(),
+        )
+        .with_body(exported.1);
+    let mut rest = to.client.send(import, to.limits).await.expect("an answer");
+    let rest = ReadEvents::read(&mut rest, usize::MAX).await;
+    let mut tokens = begun.tokens;
+    tokens.extend(rest.tokens);
+    assert_eq!(tokens, expected("roof 24", 0, 400));
+    assert!(rest.done);
+}
+
+fn order(id: &str, fence: u64, action: Value) -> Value {
+    json!({"id": id, "fence": fence, "action": action})
+}
+
+#[tokio::test]
+async fn old_fencing_numbers_are_refused_only_where_checked() {
+    for (checks_fencing, status, fence) in [(true, 409, 7), (false, 202, 0)] {
+        let profile = EngineProfile {
+            checks_fencing,
+            ..quick()
+        };
+        let engine = TestStandin::engine(profile).await;
+        let leave = json!({"set_leaving": {"leaving": true}});
+        let stay = json!({"set_leaving": {"leaving": false}});
+        assert_eq!(
+            engine.post("/engine/orders", &order("a", 7, leave)).await.0,
+            202
+        );
+        engine
+            .wait("/engine/status", |s| s["last_order"] == "a")
+            .await;
+        let late = engine.post("/engine/orders", &order("b", 6, stay)).await;
+        assert_eq!(late.0, status);
+        let state = engine.wait("/engine/status", |s| s["busy"] == false).await;
+        assert_eq!(
+            (&state["leaving"], &state["fence"]),
+            (&json!(checks_fencing), &json!(fence))
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_order_whose_reply_is_lost_acts_once() {
+    let engine = TestStandin::engine(quick()).await;
+    engine.faults(json!({"lose_order_replies": true})).await;
+    let load = order(
+        "a",
+        1,
+        json!({"load_model": {"model": "sketch-llm", "version": "2"}}),
+    );
+    let lost = engine.try_post("/engine/orders", &[], &load).await;
+    assert!(matches!(lost, Err(HttpError::Broken(_))), "{lost:?}");
+    engine
+        .wait("/engine/status", |s| s["last_order"] == "a")
+        .await;
+    engine.faults(json!({})).await;
+    let (status, state) = engine.post("/engine/orders", &load).await;
+    assert_eq!((status, &state["version"]), (202, &json!("2")));
+    assert_eq!(engine.get("/engine/counts").await.1["orders"], 1);
+}
+
+#[tokio::test]
+async fn open_connections_go_silent_for_good_while_new_ones_work() {
+    let engine = TestStandin::engine(quick()).await;
+    let mut open = engine
+        .open(CHAT, &[], &chat("roof 25", 100_000, true))
+        .await
+        .expect("an answer");
+    ReadEvents::read(&mut open, 1).await;
+    engine.faults(json!({"silence_existing": true})).await;
+    let impatient = CallLimits::new(Duration::from_millis(300));
+    let fresh = HttpClient::new(Duration::from_secs(1));
+    let call = || amaranth_net::client::HttpCall::get(engine.address, "/livez");
+    let old = engine.client.fetch(call(), impatient).await;
+    assert!(matches!(old, Err(HttpError::Silent)), "{old:?}");
+    let new = fresh.fetch(call(), engine.limits).await;
+    assert_eq!(new.expect("an answer").0, 200);
+}
+
+#[tokio::test]
+async fn a_cached_prefix_is_published_and_evicted() {
+    let mut profile = quick();
+    profile.cache.blocks = 4;
+    let engine = TestStandin::engine(profile).await;
+    for prompt in ["a".repeat(256), "b".repeat(256)] {
+        assert_eq!(engine.post(CHAT, &chat(&prompt, 1, false)).await.0, 200);
+    }
+    let (_, events) = engine.get("/engine/cache-events?from=0").await;
+    let stored = |wanted| {
+        let events = events["events"].as_array().expect("events");
+        events
+            .iter()
+            .filter(|event| event["stored"] == wanted)
+            .count()
+    };
+    assert_eq!((stored(true), stored(false)), (8, 4));
+    assert_eq!(events["next"], 12);
+}
