Add the plain service, the upstream list and the weight store

Cause: nothing stood in for plain services, whose own count of calls by key is the only proof of at-most-once, nor for the list of upstreams and the weight store that changes depend on.

Both kinds report themselves to /list/upstreams. The weight store sends every model at a rate that all readers share; it can be down or miss versions. Lists now show what was true before their lag: before, a changed row vanished until the lag had passed. A lost reply of the log breaks the connection instead of answering 500, as a real loss does. Upstream rows never expire: a row reported once stays until it is reported otherwise.

The check of remembered orders passed at first without them, because the second run had not ended yet; it now looks at the busy flag and at the count after a further order.

--- a/crates/net/src/route.rs
+++ b/crates/net/src/route.rs
@@ -8,7 +8,7 @@
 use amaranth_wire::error::{CallError, ErrorKind};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::HeaderMap;
+use http::{HeaderMap, Method};
 use serde::de::DeserializeOwned;
 use volo::net::Address;
 use volo_http::body::Body;
@@ -52,6 +52,11 @@
         uri.path_and_query().map_or("/", |path| path.as_str())
     }
 
+    /// Method.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
     /// Headers.
     pub fn headers(&self) -> &HeaderMap {
         self.request.headers()
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,9 +8,9 @@
 use amaranth_net::answer;
 use amaranth_net::client::HttpClient;
 use amaranth_net::clock::unix_ms;
-use amaranth_wire::engine::{EngineLoad, EngineRole, EngineStatus};
+use amaranth_wire::engine::{EngineLoad, EngineRole, EngineStatus, ListedUpstream};
 use amaranth_wire::error::{CallError, ErrorKind, RanState};
-use amaranth_wire::id::ModelId;
+use amaranth_wire::id::{ModelId, UpstreamId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineProfile {
     /// Its name on the platform's list and in metrics.
-    pub name: String,
+    pub name: UpstreamId,
     /// Name of the model that it serves first.
     pub model: ModelId,
     /// Version of that model.
@@ -61,7 +61,7 @@
 impl Default for EngineProfile {
     fn default() -> Self {
         Self {
-            name: "engine".to_owned(),
+            name: "engine".parse().expect("a valid name"),
             model: "sketch-llm".parse().expect("a valid name"),
             version: "1".to_owned(),
             speed: BatchSpeed {
@@ -188,7 +188,7 @@
     }
 
     async fn run_steps(&self) {
-        let name = self.profile.name.clone();
+        let name = self.profile.name.to_string();
         let tokens = metrics::counter!("amaranth_engine_tokens_total", "upstream" => name.clone());
         let active = metrics::gauge!("amaranth_engine_active_streams", "upstream" => name);
         let mut due = tokio::time::Instant::now();
@@ -243,6 +243,14 @@
         started
     }
 
+    /// What it says of itself on the platform's list.
+    pub fn row(&self) -> ListedUpstream {
+        ListedUpstream {
+            upstream: self.profile.name.clone(),
+            leaving: self.core().status.leaving,
+        }
+    }
+
     /// The load report as it was some time ago.
     pub(crate) fn load(&self) -> EngineLoad {
         let mut core = self.core();
--- a/crates/standin/src/engine_cli.rs
+++ b/crates/standin/src/engine_cli.rs
@@ -2,26 +2,33 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use amaranth_net::cli::{self, CliAction, Result};
 use amaranth_net::exit_codes::ExitCode;
 use amaranth_net::telemetry;
+use amaranth_settings::upstream::UpstreamKind;
+use amaranth_wire::engine::ListedUpstream;
 use amaranth_wire::unit::TimeSpan;
 use lexopt::prelude::*;
+use tokio_util::sync::CancellationToken;
 
 use crate::engine::{EngineProfile, EngineState};
-use crate::engine_routes::router;
+use crate::service::{ServiceProfile, ServiceState};
 use crate::serving::{ServedRouter, run_until_signal};
+use crate::{engine_routes, registration, service};
 
 const PROGRAM: &str = "amaranth-engine";
 const HELP: &str = "\
-Stand-in for a model engine.
+Stand-in for an upstream: a model engine or a plain service.
 
 Usage: amaranth-engine [OPTIONS]
 
 Options:
       --listen <IP:PORT>        Where to listen [default: 127.0.0.1:0]
-      --name <NAME>             Its name in metrics [default: engine]
+      --kind <WORD>             `engine` or `service` [default: engine]
+      --name <NAME>             Its name on the list and in metrics [default: engine]
+      --platform <IP:PORT>      Platform whose list it reports to [default: none]
       --model <NAME>            The model that it serves first [default: sketch-llm]
       --model-version <TEXT>    Version of that model [default: 1]
       --step <TIME>             Time of one step with a single stream [default: 10ms]
@@ -38,6 +45,7 @@
       --order-time <TIME>       Time that an order takes [default: 200ms]
       --weights <IP:PORT>       Weight store that models are read from [default: none]
       --fencing <WORD>          Old fencing numbers are `checked` or `ignored` [default: checked]
+      --time <TIME>             Time of one call of a service [default: 20ms]
   -h, --help                    Print help
   -V, --version                 Print version
 
@@ -48,7 +56,10 @@
 
 struct EngineOptions {
     listen: SocketAddr,
+    kind: UpstreamKind,
+    platform: Option<SocketAddr>,
     profile: EngineProfile,
+    call_time: Duration,
 }
 
 /// Runs the program.
@@ -59,7 +70,10 @@
 fn parse(mut parser: lexopt::Parser) -> Result<CliAction<EngineOptions>> {
     let mut options = EngineOptions {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        kind: UpstreamKind::Engine,
+        platform: None,
         profile: EngineProfile::default(),
+        call_time: ServiceProfile::default().time,
     };
     let span = |parser: &mut lexopt::Parser| -> Result<_> {
         Ok(parser.value()?.parse::<TimeSpan>()?.duration())
@@ -68,7 +82,10 @@
         let profile = &mut options.profile;
         match arg {
             Long("listen") => options.listen = parser.value()?.parse()?,
-            Long("name") => profile.name = parser.value()?.string()?,
+            Long("kind") => options.kind = parser.value()?.parse()?,
+            Long("platform") => options.platform = Some(parser.value()?.parse()?),
+            Long("time") => options.call_time = span(&mut parser)?,
+            Long("name") => profile.name = parser.value()?.parse()?,
             Long("model") => profile.model = parser.value()?.parse()?,
             Long("model-version") => profile.version = parser.value()?.string()?,
             Long("step") => profile.speed.step = span(&mut parser)?,
@@ -106,12 +123,55 @@
 fn start(options: EngineOptions) -> ExitCode {
     telemetry::init_logs();
     telemetry::init_metrics();
-    run_until_signal(PROGRAM, options.listen, |stop| {
-        let state = Arc::new(EngineState::new(options.profile, stop));
-        tokio::spawn(state.clone().run());
-        ServedRouter {
-            router: router(&state),
-            on_accept: Some(state.panel.gate.accept_hook()),
+    let listen = options.listen;
+    run_until_signal(PROGRAM, listen, |stop| match options.kind {
+        UpstreamKind::Engine => start_engine(options.profile, options.platform, stop),
+        UpstreamKind::Service => {
+            let profile = ServiceProfile {
+                name: options.profile.name,
+                time: options.call_time,
+                slots: options.profile.speed.slots,
+                report_lag: options.profile.report_lag,
+            };
+            start_service(profile, options.platform, stop)
         }
     })
 }
+
+/// Starts an engine's tasks and returns what it serves.
+pub fn start_engine(
+    profile: EngineProfile,
+    platform: Option<SocketAddr>,
+    stop: CancellationToken,
+) -> ServedRouter {
+    let state = Arc::new(EngineState::new(profile, stop.clone()));
+    tokio::spawn(state.clone().run());
+    if let Some(platform) = platform {
+        let reporter = state.clone();
+        tokio::spawn(registration::run(platform, move || reporter.row(), stop));
+    }
+    ServedRouter {
+        router: engine_routes::router(&state),
+        on_accept: Some(state.panel.gate.accept_hook()),
+    }
+}
+
+/// Starts a service's tasks and returns what it serves.
+pub fn start_service(
+    profile: ServiceProfile,
+    platform: Option<SocketAddr>,
+    stop: CancellationToken,
+) -> ServedRouter {
+    let row = ListedUpstream {
+        upstream: profile.name.clone(),
+        leaving: false,
+    };
+    let state = Arc::new(ServiceState::new(profile));
+    if let Some(platform) = platform {
+        tokio::spawn(registration::run(platform, move || row.clone(), stop));
+    }
+    ServedRouter {
+        router: service::router(&state),
+        on_accept: Some(state.panel.gate.accept_hook()),
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,17 +1,18 @@
-//! The platform stand-in: an append-only log and a lagging list of instances.
+//! The platform stand-in: an append-only log, lagging lists and a weight store.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranth_net::answer;
 use amaranth_net::body::{BodyLimits, read_all, read_json};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::route::handler;
+use amaranth_net::{answer, telemetry};
+use amaranth_wire::engine::{ListedUpstream, WEIGHTS_PATH};
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::{InstanceId, LogOffset};
+use amaranth_wire::id::LogOffset;
 use amaranth_wire::platform::{
     AppendReply, LIST_PATH, LOG_APPEND_PATH, LOG_READ_PATH, ListedInstance, ReadReply,
+    UPSTREAM_LIST_PATH,
 };
 use serde::Deserialize;
 use tokio::sync::Notify;
@@ -21,8 +22,12 @@
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
+use crate::engine_faults::is_hit;
+use crate::fault_panel::broken_connection;
+use crate::lagging_list::LaggingList;
 use crate::log_store::{AppendOutcome, LogLimits, LogStore};
 use crate::platform_faults::PlatformFaults;
+use crate::weight_store::{WeightLimits, WeightStore};
 
 /// Path that reads and replaces the faults in force.
 pub const FAULTS_PATH: &str = "/faults";
@@ -37,18 +42,24 @@
     time: Duration::from_secs(10),
 };
 
-struct ListRow {
-    instance: ListedInstance,
-    changed_ms: u64,
-    seen_ms: u64,
+/// How a platform stand-in behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct PlatformProfile {
+    /// Limits of the log.
+    pub log: LogLimits,
+    /// How late the lists show changes, in milliseconds.
+    pub list_lag_ms: u64,
+    /// The weight store.
+    pub weights: WeightLimits,
 }
 
 /// State of the stand-in.
 pub struct PlatformState {
     log: Mutex<LogStore>,
     appended: Notify,
-    list: Mutex<BTreeMap<InstanceId, ListRow>>,
-    list_lag_ms: u64,
+    instances: Mutex<LaggingList<ListedInstance>>,
+    upstreams: Mutex<LaggingList<ListedUpstream>>,
+    weights: Arc<WeightStore>,
     faults: Mutex<PlatformFaults>,
     appends: Mutex<u64>,
 }
@@ -61,13 +72,15 @@
 }
 
 impl PlatformState {
-    /// An empty platform whose list shows changes so many milliseconds late.
-    pub fn new(limits: LogLimits, list_lag_ms: u64) -> Self {
+    /// An empty platform.
+    pub fn new(profile: PlatformProfile) -> Self {
+        let lag_ms = profile.list_lag_ms;
         Self {
-            log: Mutex::new(LogStore::new(limits)),
+            log: Mutex::new(LogStore::new(profile.log)),
             appended: Notify::new(),
-            list: Mutex::new(BTreeMap::new()),
-            list_lag_ms,
+            instances: Mutex::new(LaggingList::new(lag_ms, Some(LIST_EXPIRY_MS))),
+            upstreams: Mutex::new(LaggingList::new(lag_ms, None)),
+            weights: Arc::new(WeightStore::new(profile.weights)),
             faults: Mutex::new(PlatformFaults::default()),
             appends: Mutex::new(0),
         }
@@ -96,11 +109,11 @@
         };
         self.appended.notify_waiters();
         let count = self.count_append();
-        if count % 100 < u64::from(faults.silent_percent) {
+        if is_hit(count, faults.silent_percent) {
             std::future::pending::<()>().await;
         }
-        if count % 100 < u64::from(faults.lost_reply_percent) {
-            return Err(CallError::new(ErrorKind::Internal, "reply lost"));
+        if is_hit(count, faults.lost_reply_percent) {
+            return Ok(broken_connection());
         }
         Ok(answer::json(200, &AppendReply { offset }))
     }
@@ -152,36 +165,53 @@
     }
 
     async fn report_instance(&self, body: Body) -> answer::Result<Response> {
-        let instance: ListedInstance = read_json(body, LIMITS).await?;
-        if self.faults().list_frozen {
-            return Ok(answer::empty(204));
-        }
-        let now_ms = unix_ms();
-        let mut list = self.list.lock().expect("not poisoned");
-        let row = list.entry(instance.instance.clone()).or_insert(ListRow {
-            instance: instance.clone(),
-            changed_ms: now_ms,
-            seen_ms: now_ms,
-        });
-        if row.instance != instance {
-            row.changed_ms = now_ms;
+        let row: ListedInstance = read_json(body, LIMITS).await?;
+        if !self.faults().list_frozen {
+            let name = row.instance.to_string();
+            let mut instances = self.instances.lock().expect("not poisoned");
+            instances.report(&name, row, unix_ms());
         }
-        row.instance = instance;
-        row.seen_ms = now_ms;
         Ok(answer::empty(204))
     }
 
-    fn list(&self) -> Response {
+    fn instances(&self) -> Response {
         let now_ms = unix_ms();
-        let mut list = self.list.lock().expect("not poisoned");
+        let frozen = self.faults().list_frozen;
+        let mut instances = self.instances.lock().expect("not poisoned");
+        if !frozen {
+            instances.expire(now_ms);
+        }
+        answer::json(200, &instances.visible(now_ms))
+    }
+
+    async fn report_upstream(&self, body: Body) -> answer::Result<Response> {
+        let row: ListedUpstream = read_json(body, LIMITS).await?;
         if !self.faults().list_frozen {
-            list.retain(|_, row| now_ms < row.seen_ms + LIST_EXPIRY_MS);
+            let name = row.upstream.to_string();
+            let mut upstreams = self.upstreams.lock().expect("not poisoned");
+            upstreams.report(&name, row, unix_ms());
+        }
+        Ok(answer::empty(204))
+    }
+
+    fn upstreams(&self) -> Response {
+        let mut upstreams = self.upstreams.lock().expect("not poisoned");
+        answer::json(200, &upstreams.visible(unix_ms()))
+    }
+
+    fn weights(&self, version: &str) -> answer::Result<Response> {
+        let faults = self.faults();
+        if faults.weights_down {
+            return Err(CallError::new(ErrorKind::NotReady, "outage"));
+        }
+        if faults
+            .weights_missing
+            .iter()
+            .any(|missing| missing == version)
+        {
+            return Err(CallError::new(ErrorKind::NotFound, "no such version"));
         }
-        let visible = list
-            .values()
-            .filter(|row| now_ms >= row.changed_ms + self.list_lag_ms);
-        let rows: Vec<_> = visible.map(|row| row.instance.clone()).collect();
-        answer::json(200, &rows)
+        Ok(self.weights.answer())
     }
 
     async fn set_faults(&self, body: Body) -> answer::Result<Response> {
@@ -198,10 +228,24 @@
 
 /// The stand-in's paths.
 pub fn router(state: Arc<PlatformState>) -> Router {
-    let list = handler(&state, |state, _| async move { Ok(state.list()) });
-    let report = handler(&state, |state, request| async move {
+    let instances = handler(&state, |state, _| async move { Ok(state.instances()) });
+    let report_instance = handler(&state, |state, request| async move {
         state.report_instance(request.into_body()).await
     });
+    let upstreams = handler(&state, |state, _| async move { Ok(state.upstreams()) });
+    let report_upstream = handler(&state, |state, request| async move {
+        state.report_upstream(request.into_body()).await
+    });
+    let weights = handler(&state, |state, request| async move {
+        state.weights(request.param(1))
+    });
+    let live = handler(&state, |_, _| async {
+        Ok(answer::bytes(200, answer::TEXT, "live\n"))
+    });
+    let show_metrics = handler(&state, |_, _| async {
+        let text = telemetry::render_metrics();
+        Ok(answer::bytes(200, answer::TEXT, text))
+    });
     let faults = handler(&state, |state, _| async move {
         Ok(answer::json(200, &state.faults()))
     });
@@ -217,6 +261,14 @@
     Router::new()
         .route(LOG_APPEND_PATH, post(append))
         .route(LOG_READ_PATH, get(read))
-        .route(LIST_PATH, get(list).post(report))
+        .route(LIST_PATH, get(instances).post(report_instance))
+        .route(UPSTREAM_LIST_PATH, get(upstreams).post(report_upstream))
+        .route(
+            format!("{WEIGHTS_PATH}/{{model}}/{{version}}"),
+            get(weights),
+        )
+        .route("/livez", get(live.clone()))
+        .route("/readyz", get(live))
+        .route("/metrics", get(show_metrics))
         .route(FAULTS_PATH, get(faults).post(set_faults))
 }
--- a/crates/standin/src/platform_faults.rs
+++ b/crates/standin/src/platform_faults.rs
@@ -18,6 +18,10 @@
     pub silent_percent: u8,
     /// Replaces the time that the log keeps entries, in milliseconds.
     pub retention_ms: Option<u64>,
-    /// The list does not change any more.
+    /// The lists do not change any more.
     pub list_frozen: bool,
+    /// The weight store refuses every call.
+    pub weights_down: bool,
+    /// Versions that the weight store does not have.
+    pub weights_missing: Vec<String>,
 }
--- /dev/null
+++ b/crates/standin/src/registration.rs
@@ -0,0 +1,31 @@
+//! An upstream's reports about itself to the platform's list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranth_net::client::{CallLimits, HttpCall, HttpClient};
+use amaranth_wire::engine::ListedUpstream;
+use amaranth_wire::platform::UPSTREAM_LIST_PATH;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for the list.
+const REPORT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Reports until stopped; the closure tells what to report.
+pub async fn run(platform: SocketAddr, row: impl Fn() -> ListedUpstream, stop: CancellationToken) {
+    let client = HttpClient::new(REPORT_LIMIT);
+    while !stop.is_cancelled() {
+        let body = serde_json::to_vec(&row()).expect("rows always encode");
+        let call = HttpCall::post(platform, UPSTREAM_LIST_PATH).with_body(body);
+        if let Err(e) = client.fetch(call, CallLimits::new(REPORT_LIMIT)).await {
+            log::debug!("event=list_report_failed error={:?}", e.to_string());
+        }
+        tokio::select! {
+            () = sleep(REPORT_PERIOD) => {}
+            () = stop.cancelled() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,253 @@
+//! The plain service stand-in. It runs every call that it gets, also a repeated one, and counts
+//! by key how often it ran each: that count is how at-most-once is checked.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_net::answer;
+use amaranth_net::body::read_all;
+use amaranth_net::clock::unix_ms;
+use amaranth_net::route::{RouteRequest, handler};
+use amaranth_wire::engine::{EngineLoad, LOAD_PATH, SERVICE_CALLS_PATH, ServiceCalls};
+use amaranth_wire::error::{CallError, ErrorKind, RanState};
+use amaranth_wire::id::UpstreamId;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use volo_http::response::Response;
+use volo_http::server::Router;
+use volo_http::server::route::{any, get};
+
+use crate::engine_faults::{EngineFaults, is_hit};
+use crate::engine_text::IMPOSSIBLE_MARK;
+use crate::fault_panel::{FaultPanel, LIMITS, broken_connection, common_routes};
+use crate::load_history::LoadHistory;
+
+/// Header that names a call.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// How a service stand-in behaves.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceProfile {
+    /// Its name.
+    pub name: UpstreamId,
+    /// Time of one call.
+    pub time: Duration,
+    /// Calls that run at once.
+    pub slots: usize,
+    /// How late load reports are.
+    pub report_lag: Duration,
+}
+
+impl Default for ServiceProfile {
+    fn default() -> Self {
+        Self {
+            name: "service".parse().expect("a valid name"),
+            time: Duration::from_millis(20),
+            slots: 16,
+            report_lag: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What a service answers: enough to check that the answer belongs to the call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// Method of the call.
+    pub method: String,
+    /// Path and query of the call.
+    pub path: String,
+    /// [`body_hash`] of its body.
+    pub body_hash: String,
+    /// Its key.
+    pub key: Option<String>,
+    /// How many calls with this key ran, this one included; 0 without a key.
+    pub run: u64,
+    /// Who answers.
+    pub service: UpstreamId,
+}
+
+/// Hash of a body in answers: 64-bit FNV-1a, hexadecimal.
+pub fn body_hash(body: &[u8]) -> String {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = body.iter().fold(0xcbf2_9ce4_8422_2325, step);
+    format!("{hash:016x}")
+}
+
+/// State of the stand-in.
+pub struct ServiceState {
+    profile: ServiceProfile,
+    /// Its faults.
+    pub panel: Arc<FaultPanel>,
+    slots: Semaphore,
+    calls: Mutex<ServiceBook>,
+    history: Mutex<LoadHistory>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceBook {
+    waiting: u32,
+    total: u64,
+    by_key: HashMap<String, ServiceCalls>,
+}
+
+/// Everything that is known of the calls that a service ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTotals {
+    /// Calls that ran.
+    pub runs: u64,
+    /// Keys that ran more than once.
+    pub repeated: Vec<String>,
+}
+
+impl ServiceState {
+    /// An idle service.
+    pub fn new(profile: ServiceProfile) -> Self {
+        Self {
+            panel: Arc::default(),
+            slots: Semaphore::new(profile.slots),
+            calls: Mutex::default(),
+            history: Mutex::new(LoadHistory::new(profile.report_lag)),
+            profile,
+        }
+    }
+
+    /// Runs a call to its end, whether the caller still waits or not.
+    async fn run(self: Arc<Self>, mut answer: ServiceAnswer, faults: EngineFaults) -> RunOutcome {
+        self.calls.lock().expect("not poisoned").waiting += 1;
+        let slot = self.slots.acquire().await;
+        let number = self.begin(&mut answer);
+        sleep(self.profile.time.mul_f64(faults.slow_factor)).await;
+        drop(slot);
+        let text = serde_json::to_string(&answer).expect("answers always encode");
+        self.keep_answer(&answer, &text);
+        match is_hit(number, faults.lost_reply_percent) {
+            true => RunOutcome::Lost,
+            false => RunOutcome::Answer(text),
+        }
+    }
+
+    /// Counts a call that runs now and returns its number.
+    fn begin(&self, answer: &mut ServiceAnswer) -> u64 {
+        let mut calls = self.calls.lock().expect("not poisoned");
+        calls.waiting -= 1;
+        let number = calls.total;
+        calls.total += 1;
+        if let Some(key) = &answer.key {
+            let row = calls.by_key.entry(key.clone()).or_insert(ServiceCalls {
+                runs: 0,
+                answer: None,
+            });
+            row.runs += 1;
+            answer.run = row.runs;
+        }
+        number
+    }
+
+    fn keep_answer(&self, answer: &ServiceAnswer, text: &str) {
+        let mut calls = self.calls.lock().expect("not poisoned");
+        let row = answer
+            .key
+            .as_ref()
+            .and_then(|key| calls.by_key.get_mut(key));
+        if let Some(row) = row {
+            row.answer.get_or_insert_with(|| text.to_owned());
+        }
+    }
+
+    fn load(&self) -> EngineLoad {
+        let slots = self.profile.slots as u32;
+        let now_ms = unix_ms();
+        let load = EngineLoad {
+            time_ms: now_ms,
+            active: slots - self.slots.available_permits() as u32,
+            waiting: self.calls.lock().expect("not poisoned").waiting,
+            slots,
+            step_us: self.profile.time.as_micros() as u64,
+            leaving: false,
+        };
+        let mut history = self.history.lock().expect("not poisoned");
+        history.note(load);
+        history.lagging(now_ms)
+    }
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum RunOutcome {
+    Answer(String),
+    Lost,
+}
+
+/// The stand-in's paths.
+pub fn router(state: &Arc<ServiceState>) -> Router {
+    Router::new()
+        .route(
+            format!("{SERVICE_CALLS_PATH}/{{key}}"),
+            get(handler(state, calls)),
+        )
+        .route(SERVICE_CALLS_PATH, get(handler(state, totals)))
+        .route(LOAD_PATH, get(handler(state, load)))
+        .route("/readyz", get(handler(state, ready)))
+        .route("/", any(handler(state, call)))
+        .route("/{*path}", any(handler(state, call)))
+        .merge(common_routes(&state.panel))
+}
+
+async fn call(state: Arc<ServiceState>, request: RouteRequest) -> answer::Result<Response> {
+    let mut pass = state.panel.gate.pass(request.peer());
+    let faults = state.panel.admit(&request).await?;
+    let mut answer = ServiceAnswer {
+        method: request.method().to_string(),
+        path: request.path().to_owned(),
+        body_hash: String::new(),
+        key: request.header(KEY_HEADER).map(str::to_owned),
+        run: 0,
+        service: state.profile.name.clone(),
+    };
+    let body = read_all(request.into_body(), LIMITS).await?;
+    let mark = IMPOSSIBLE_MARK.as_bytes();
+    if body.windows(mark.len()).any(|window| window == mark) {
+        let error = CallError::new(ErrorKind::UpstreamRejected, "this call can't be done");
+        return Err(error.with_ran(RanState::No));
+    }
+    answer.body_hash = body_hash(&body);
+    let outcome = tokio::spawn(state.clone().run(answer, faults)).await;
+    pass.wait().await;
+    match outcome {
+        Ok(RunOutcome::Answer(text)) => Ok(answer::bytes(200, answer::JSON, text)),
+        Ok(RunOutcome::Lost) => Ok(broken_connection()),
+        Err(e) => Err(CallError::new(ErrorKind::Internal, e.to_string())),
+    }
+}
+
+/// Answers whatever faults are in force: the tests' own account.
+async fn calls(state: Arc<ServiceState>, request: RouteRequest) -> answer::Result<Response> {
+    let calls = state.calls.lock().expect("not poisoned");
+    let row = calls.by_key.get(request.param(0)).cloned();
+    let none = ServiceCalls {
+        runs: 0,
+        answer: None,
+    };
+    Ok(answer::json(200, &row.unwrap_or(none)))
+}
+
+async fn totals(state: Arc<ServiceState>, _: RouteRequest) -> answer::Result<Response> {
+    let calls = state.calls.lock().expect("not poisoned");
+    let repeated = calls.by_key.iter().filter(|(_, row)| row.runs > 1);
+    let totals = ServiceTotals {
+        runs: calls.total,
+        repeated: repeated.map(|(key, _)| key.clone()).collect(),
+    };
+    Ok(answer::json(200, &totals))
+}
+
+async fn load(state: Arc<ServiceState>, request: RouteRequest) -> answer::Result<Response> {
+    state.panel.admit(&request).await?;
+    Ok(answer::json(200, &state.load()))
+}
+
+async fn ready(state: Arc<ServiceState>, request: RouteRequest) -> answer::Result<Response> {
+    state.panel.admit(&request).await?;
+    Ok(answer::bytes(200, answer::TEXT, "ready\n"))
+}
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -247,7 +247,13 @@
     engine.faults(json!({})).await;
     let (status, state) = engine.post("/engine/orders", &load).await;
     assert_eq!((status, &state["version"]), (202, &json!("2")));
-    assert_eq!(engine.get("/engine/counts").await.1["orders"], 1);
+    assert_eq!(state["busy"], false, "the resent order began again");
+    let leave = order("b", 1, json!({"set_leaving": {"leaving": true}}));
+    assert_eq!(engine.post("/engine/orders", &leave).await.0, 202);
+    engine
+        .wait("/engine/status", |s| s["last_order"] == "b")
+        .await;
+    assert_eq!(engine.get("/engine/counts").await.1["orders"], 2);
 }
 
 #[tokio::test]
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -9,8 +9,11 @@
 
 use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpClient, Result};
 use amaranth_net::server;
-use amaranth_standin::engine::{EngineProfile, EngineState};
-use amaranth_standin::engine_routes;
+use amaranth_standin::engine::EngineProfile;
+use amaranth_standin::engine_cli::{start_engine, start_service};
+use amaranth_standin::platform::{self, PlatformProfile, PlatformState};
+use amaranth_standin::service::ServiceProfile;
+use amaranth_standin::serving::ServedRouter;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -30,26 +33,33 @@
     /// Serves an engine.
     pub async fn engine(profile: EngineProfile) -> Self {
         let stop = CancellationToken::new();
-        let state = Arc::new(EngineState::new(profile, stop.clone()));
-        tokio::spawn(state.clone().run());
-        let hook = state.panel.gate.accept_hook();
-        Self::serve(engine_routes::router(&state), Some(hook), stop).await
+        Self::serve(start_engine(profile, None, stop.clone()), stop).await
     }
 
-    /// Serves some paths.
-    pub async fn serve(
-        router: volo_http::server::Router,
-        on_accept: Option<server::AcceptHook>,
-        stop: CancellationToken,
-    ) -> Self {
+    /// Serves a plain service.
+    pub async fn service(profile: ServiceProfile) -> Self {
+        let stop = CancellationToken::new();
+        Self::serve(start_service(profile, None, stop.clone()), stop).await
+    }
+
+    /// Serves a platform.
+    pub async fn platform(profile: PlatformProfile) -> Self {
+        let served = ServedRouter {
+            router: platform::router(Arc::new(PlatformState::new(profile))),
+            on_accept: None,
+        };
+        Self::serve(served, CancellationToken::new()).await
+    }
+
+    async fn serve(served: ServedRouter, stop: CancellationToken) -> Self {
         let listener = server::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
         let listener = listener.expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
         tokio::spawn(server::serve_with(
             listener,
-            router,
+            served.router,
             stop.clone(),
-            on_accept,
+            served.on_accept,
         ));
         Self {
             address,
