--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 pub mod error;
+pub mod gossip;
 pub mod id;
 pub mod message;
 pub mod platform;
