Take over from instances that the list still shows

Cause: ownership went by the platform's list alone. With the list standing still, an instance that was killed stayed preferred for its shards and their jobs never ran. Ruled out: shorter waits on the list (it lags by design and may stand still); claims by any instance (twelve claims for each free shard). Change: instances exchange heartbeats and digests; a listed instance that was silent for 20 s, or was never heard of for as long, is passed over.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,12 +6,14 @@
 
 use amaranth_net::client::HttpClient;
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::InstanceId;
 use amaranth_wire::message::InstanceReport;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
+use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
 use crate::membership::MemberTable;
@@ -42,6 +44,8 @@
     pub upstreams: UpstreamTable,
     /// The other instances.
     pub members: MemberTable,
+    /// What the other instances said of themselves.
+    pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
     pub work: TaskTracker,
     /// Cancelled when the process ends.
@@ -63,6 +67,7 @@
         Self {
             items: ItemReader::new(log.clone()),
             members: MemberTable::default(),
+            gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
@@ -96,6 +101,14 @@
         self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
     }
 
+    /// Names of the instances that are listed as live and not believed gone, this one included
+    /// unless it is leaving.
+    pub fn live_instances(&self) -> Vec<InstanceId> {
+        let mut live = self.members.live();
+        live.retain(|instance| !self.gossip.is_lost(instance));
+        live
+    }
+
     /// Refuses work before the log was folded. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod context;
 pub mod follower;
+pub mod gossip;
 pub mod item_reader;
 pub mod item_run;
 pub mod lease_keeper;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -154,7 +154,7 @@
 
 /// Whether this instance comes first for the shard among those that are listed as live.
 fn is_preferred(context: &InstanceContext, shard: ShardId) -> bool {
-    let live = context.members.live();
+    let live = context.live_instances();
     let key = shard.0.to_be_bytes();
     let order = rendezvous_order(&key, &live, |instance| instance.as_str());
     order.first() == Some(&&context.config.instance)
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -5,12 +5,13 @@
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_net::{answer, telemetry};
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::gossip::GOSSIP_PATH;
 use volo_http::response::Response;
 use volo_http::server::Router;
 use volo_http::server::route::{any, get, post};
 
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, operator};
+use crate::{accept, batch_intake, batch_view, gossip, operator};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
@@ -42,6 +43,7 @@
             get(handler(context, operator::show_config))
                 .post(handler(context, operator::set_config)),
         )
+        .route(GOSSIP_PATH, post(handler(context, gossip::handle)))
         .route("/livez", get(handler(context, live)))
         .route("/readyz", get(handler(context, ready)))
         .route("/metrics", get(handler(context, metrics)))
--- a/crates/kernel/src/membership.rs
+++ b/crates/kernel/src/membership.rs
@@ -73,6 +73,7 @@
     digests: BTreeMap<DataCentreId, KnownDigest>,
     candidates: BTreeMap<InstanceId, DataCentreId>,
     highest: LogOffset,
+    first_beat_ms: Option<u64>,
 }
 
 impl GossipTable {
@@ -85,6 +86,7 @@
             digests: BTreeMap::new(),
             candidates: BTreeMap::new(),
             highest: LogOffset(0),
+            first_beat_ms: None,
         }
     }
 
@@ -103,6 +105,7 @@
         leaving: bool,
     ) {
         self.own.beat += 1;
+        self.first_beat_ms.get_or_insert(now_ms);
         self.own.folded = self.own.folded.max(folded);
         self.own.revision = self.own.revision.max(revision);
         self.own.leaving = leaving;
@@ -184,6 +187,22 @@
         }
     }
 
+    /// Whether a listed instance, in any data centre, is believed gone. One that was never heard
+    /// of gets as long as one that fell silent, so that a fresh start believes nobody gone.
+    pub fn is_lost(&self, instance: &InstanceId, now_ms: u64) -> bool {
+        let reported = self.digests.values();
+        let mut reported = reported.filter(|known| known.digest.data_centre != self.data_centre);
+        if reported.any(|known| known.digest.gone.contains(instance)) {
+            return true;
+        }
+        if self.candidates.get(instance) != Some(&self.data_centre) {
+            return false;
+        }
+        let heard = self.members.get(instance).map(|known| known.advanced_ms);
+        let since = heard.or(self.first_beat_ms).unwrap_or(now_ms);
+        now_ms >= since + GONE_MS
+    }
+
     /// Time since the last heartbeat of an instance of the own data centre was made, as far as
     /// is known, in milliseconds.
     pub fn age_ms(&self, instance: &InstanceId, now_ms: u64) -> u64 {
