--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -5,14 +5,15 @@
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_net::{answer, telemetry};
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::gossip::GOSSIP_PATH;
 use volo_http::response::Response;
 use volo_http::server::Router;
 use volo_http::server::route::{any, get, post};
 
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_intake, batch_view, log_relay, operator, operator_command, operator_peers,
-    operator_query,
+    accept, batch_intake, batch_view, gossip, log_relay, operator, operator_command,
+    operator_peers, operator_query,
 };
 
 /// The server of an instance.
@@ -69,6 +70,7 @@
             operator_peers::PEER_ROWS_PATH,
             post(handler(context, operator_peers::answer_question)),
         )
+        .route(GOSSIP_PATH, post(handler(context, gossip::handle)))
         .route("/livez", get(handler(context, live)))
         .route("/readyz", get(handler(context, ready)))
         .route("/metrics", get(handler(context, metrics)))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod change;
 pub mod engine;
 pub mod error;
+pub mod gossip;
 pub mod id;
 pub mod message;
 pub mod platform;
