Drive rollouts and swaps under a lease, and go back when they do harm

Cause: plans were folded but nobody made their steps; configuration was lost when its records expired. Change: the holder of the plan lease writes each step before the next, reads engines back, paces by width, kept share and a soak time, judges the new version against the old one, and carries the state on four times within retention. Ruled out: judging without a soak time; four engines were rolled and committed before a second of requests at the new version was seen (test failed: 'still waiting until roll-1 is reverted').

--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -121,6 +121,9 @@
         .client
         .fetch(call, CallLimits::new(ITEM_LIMIT))
         .await;
+    if !matches!(&answer, Ok((status, _)) if *status < FIRST_RETRIED_STATUS) {
+        guard.note_failure();
+    }
     let (status, body) = answer.map_err(|e| failed(e.to_string()))?;
     Ok((status, body.to_vec()))
 }
--- a/crates/entry/src/operator_rows.rs
+++ b/crates/entry/src/operator_rows.rs
@@ -49,6 +49,7 @@
     let all = context.upstreams.all().into_iter();
     all.map(|(group, upstream, address, in_flight)| {
         let withheld = context.upstreams.is_withheld(&upstream);
+        let sample = context.upstreams.sample(&upstream);
         let state = match (withheld, in_flight) {
             (false, _) => "serving",
             (true, 0) => "drained",
@@ -61,6 +62,9 @@
             "address": address.to_string(),
             "in_flight": in_flight,
             "state": state,
+            "requests": sample.requests,
+            "errors": sample.errors,
+            "total_ms": sample.total_ms,
         }))
     })
     .collect()
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,7 +15,7 @@
 use crate::context::InstanceContext;
 use crate::log_client::LogClient;
 use crate::shared_state::SharedState;
-use crate::{follower, gossip, membership, owner, plan_watch, routes};
+use crate::{follower, gossip, membership, owner, plan_driver, plan_watch, routes};
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
 const NOTICE_PERIOD: Duration = Duration::from_secs(2);
@@ -48,6 +48,7 @@
     tokio::spawn(gossip::run(context.clone()));
     tokio::spawn(owner::run(context.clone()));
     tokio::spawn(plan_watch::run(context.clone()));
+    tokio::spawn(plan_driver::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
     Ok(RunningInstance { context, address })
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -45,7 +45,13 @@
         gap: GAP_LIMIT,
     };
     let upstream_answer = context.client.send(call, limits).await;
-    let upstream_answer = upstream_answer.map_err(|e| upstream_error(&e))?;
+    let upstream_answer = upstream_answer.map_err(|e| {
+        guard.note_failure();
+        upstream_error(&e)
+    })?;
+    if upstream_answer.status() >= 500 {
+        guard.note_failure();
+    }
     if request.stream && upstream_answer.status() == 200 {
         return Ok(relay_stream(&context, upstream_answer, guard));
     }
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 
 use amaranth_kernel::plugin::routing_policy;
+use amaranth_kernel::rollout::UpstreamSample;
 use amaranth_kernel::routing::{RoutingPolicy, UpstreamView};
+use amaranth_net::clock::steady_ms;
 use amaranth_settings::fleet::FleetSettings;
 use amaranth_settings::tier::TierSettings;
 use amaranth_settings::upstream::UpstreamKind;
@@ -24,21 +26,40 @@
     pub address: SocketAddr,
     speed: f64,
     in_flight: AtomicU32,
+    requests: AtomicU64,
+    errors: AtomicU64,
+    total_ms: AtomicU64,
 }
 
 /// Counts one request at an upstream for as long as it lives.
-pub struct InFlightGuard(Arc<UpstreamState>);
+pub struct InFlightGuard {
+    state: Arc<UpstreamState>,
+    started_ms: u64,
+    failed: AtomicBool,
+}
 
 impl InFlightGuard {
     /// Where the request is.
     pub fn upstream(&self) -> &UpstreamState {
-        &self.0
+        &self.state
+    }
+
+    /// Notes that the upstream failed the request.
+    pub fn note_failure(&self) {
+        self.failed.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let took_ms = steady_ms().saturating_sub(self.started_ms);
+        let failed = *self.failed.get_mut();
+        self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.state.requests.fetch_add(1, Ordering::Relaxed);
+        self.state
+            .errors
+            .fetch_add(u64::from(failed), Ordering::Relaxed);
+        self.state.total_ms.fetch_add(took_ms, Ordering::Relaxed);
     }
 }
 
@@ -61,6 +82,9 @@
                     upstream: settings.upstream,
                     speed: settings.speed,
                     in_flight: AtomicU32::new(0),
+                    requests: AtomicU64::new(0),
+                    errors: AtomicU64::new(0),
+                    total_ms: AtomicU64::new(0),
                 }))
             });
             (group.name.clone(), upstreams.collect())
@@ -102,6 +126,17 @@
         rows.collect()
     }
 
+    /// What the requests to an upstream came to, from this instance.
+    pub fn sample(&self, upstream: &UpstreamId) -> UpstreamSample {
+        let mut states = self.groups.values().flatten();
+        let state = states.find(|state| state.upstream == *upstream);
+        state.map_or_else(UpstreamSample::default, |state| UpstreamSample {
+            requests: state.requests.load(Ordering::Relaxed),
+            errors: state.errors.load(Ordering::Relaxed),
+            total_ms: state.total_ms.load(Ordering::Relaxed),
+        })
+    }
+
     /// The first tier that serves this model.
     pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
         self.tier_of_model.get(model)
@@ -125,7 +160,11 @@
         let index = (self.policy.pick)(&views, counter, &mut rand::rng())?;
         let picked = upstreams[index].clone();
         picked.in_flight.fetch_add(1, Ordering::Relaxed);
-        Some(InFlightGuard(picked))
+        Some(InFlightGuard {
+            state: picked,
+            started_ms: steady_ms(),
+            failed: AtomicBool::new(false),
+        })
     }
 }
 
--- a/crates/kernel/src/language/table.rs
+++ b/crates/kernel/src/language/table.rs
@@ -51,7 +51,8 @@
 } }
 inventory::submit! { QueryTable {
     name: "upstreams", scope: Instance,
-    fields: &["instance", "upstream", "group", "address", "in_flight", "state"],
+    fields: &["instance", "upstream", "group", "address", "in_flight", "state", "requests",
+        "errors", "total_ms"],
 } }
 inventory::submit! { QueryTable {
     name: "instances", scope: Instance,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
+pub mod rollout;
 pub mod routing;
 pub mod setting_table;
 pub mod subset;
--- a/crates/kernel/src/setting_table.rs
+++ b/crates/kernel/src/setting_table.rs
@@ -66,7 +66,7 @@
 };
 
 /// Every setting that the log may change.
-pub const SETTING_TABLE: [SettingSpec; 9] = [
+pub const SETTING_TABLE: [SettingSpec; 10] = [
     QUEUE_LIMIT,
     number(
         "tier",
@@ -105,6 +105,12 @@
         (0, 100),
         "share of a tier's engines that a rollout leaves in service",
     ),
+    number(
+        "plan",
+        "soak_ms",
+        (0, 3_600_000),
+        "milliseconds that changed engines are judged before the next ones are changed",
+    ),
     number(
         "plan",
         "error_percent",
