--- a/crates/entry/src/batch_intake.rs
+++ b/crates/entry/src/batch_intake.rs
@@ -240,6 +240,10 @@
         }
         let first = self.appended;
         self.appended += items.len() as u32;
+        if known_digest(context, &self.job).is_some() {
+            // A resend: only its digest is still needed.
+            return Ok(());
+        }
         let record = LogRecord::JobItems {
             job: self.job.clone(),
             upload: self.upload,
--- a/crates/entry/src/batch_view.rs
+++ b/crates/entry/src/batch_view.rs
@@ -1,10 +1,12 @@
 //! What callers see of their jobs: state, results, cancel.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_kernel::ledger::{ItemRange, JobState};
+use amaranth_kernel::bitmap::ItemBitmap;
+use amaranth_kernel::ledger::{ItemRange, JobState, ResultEntry};
 use amaranth_net::answer;
 use amaranth_net::route::RouteRequest;
 use amaranth_wire::error::{CallError, ErrorKind};
@@ -20,9 +22,12 @@
 use volo_http::response::Response;
 
 use crate::context::{InstanceContext, Result};
+use crate::item_reader::ItemPiece;
 
 /// Longest wait until a cancel is on the log.
 const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Items whose results are read and sent together.
+const PART_ITEMS: u32 = 256;
 /// Pieces of a result stream that may wait for a slow caller.
 const STREAM_BUFFER: usize = 4;
 
@@ -115,17 +120,29 @@
 
 /// What has to be read from the log for the results of a job.
 struct ResultPlan {
+    upload: u64,
     ranges: Vec<ItemRange>,
-    offsets: Vec<LogOffset>,
+    results: Vec<ResultEntry>,
+    finished: ItemBitmap,
 }
 
 impl ResultPlan {
     fn new(state: &JobState) -> Self {
         Self {
+            upload: state.upload,
             ranges: state.ranges.clone(),
-            offsets: state.result_offsets.clone(),
+            results: state.results.clone(),
+            finished: state.finished.clone(),
         }
     }
+
+    /// Entries that may hold results of these items.
+    fn entries(&self, indexes: &Range<u32>) -> Vec<LogOffset> {
+        let within =
+            |entry: &&ResultEntry| entry.first < indexes.end && entry.last >= indexes.start;
+        let entries = self.results.iter().filter(within);
+        entries.map(|entry| entry.offset).collect()
+    }
 }
 
 type Piece = std::result::Result<Frame<Bytes>, volo_http::error::BoxError>;
@@ -141,32 +158,57 @@
     }
 }
 
-/// Sends the first result of each item, in the order of the items.
+/// Sends the first result of each item, in the order of the items, a part at a time.
 async fn copy_results(
     context: &InstanceContext,
     job: &JobId,
     plan: &ResultPlan,
     sender: &mpsc::Sender<Piece>,
 ) -> Result<()> {
+    for range in &plan.ranges {
+        let end = range.first + range.count;
+        for start in (range.first..end).step_by(PART_ITEMS as usize) {
+            let indexes = start..end.min(start + PART_ITEMS);
+            let piece = ItemPiece {
+                job: job.clone(),
+                upload: plan.upload,
+                range: *range,
+            };
+            let part = read_part(context, &piece, plan, indexes).await?;
+            if !part.is_empty() && sender.send(Ok(Frame::data(part.into()))).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The lines of some items of one piece.
+async fn read_part(
+    context: &InstanceContext,
+    piece: &ItemPiece,
+    plan: &ResultPlan,
+    indexes: Range<u32>,
+) -> Result<Vec<u8>> {
     let mut first: HashMap<u32, ItemOutcome> = HashMap::new();
-    for offset in &plan.offsets {
-        for outcome in context.items.outcomes(*offset, job).await? {
+    for offset in plan.entries(&indexes) {
+        for outcome in context.items.outcomes(offset, &piece.job, &indexes).await? {
             first.entry(outcome.index).or_insert(outcome);
         }
     }
-    for range in &plan.ranges {
-        let items = context.items.items(range.offset, job, range.first).await?;
-        let mut piece = Vec::new();
-        for (index, item) in (range.first..).zip(&items) {
-            if let Some(outcome) = first.remove(&index) {
-                write_line(&mut piece, job, &item.custom_id, &outcome);
-            }
-        }
-        if sender.send(Ok(Frame::data(piece.into()))).await.is_err() {
-            return Ok(());
+    // An entry may also hold results that came after the job was cancelled.
+    first.retain(|index, _| plan.finished.contains(*index));
+    let mut lines = Vec::new();
+    if first.is_empty() {
+        return Ok(lines);
+    }
+    let items = context.items.items(piece, indexes.clone()).await?;
+    for (index, item) in indexes.zip(&items) {
+        if let Some(outcome) = first.remove(&index) {
+            write_line(&mut lines, &piece.job, &item.custom_id, &outcome);
         }
     }
-    Ok(())
+    Ok(lines)
 }
 
 fn write_line(piece: &mut Vec<u8>, job: &JobId, custom_id: &str, outcome: &ItemOutcome) {
--- a/crates/entry/src/committer.rs
+++ b/crates/entry/src/committer.rs
@@ -7,26 +7,27 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use amaranth_kernel::commit::{
+    AppendBudget, AppendOutcome, CommitAttempts, CommitStep, flush_wait, merge_results,
+};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::{LogOffset, WriterId};
 use amaranth_wire::record::{LogRecord, MAX_BATCH_BYTES, RecordBatch};
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use rand::RngExt;
+use tokio::sync::{oneshot, watch};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::log_client::{AppendOutcome, LogClient};
+use crate::commit_queue::{CommitLoad, CommitQueue};
+use crate::log_client::LogClient;
 use crate::shared_state::OwnMark;
 
-/// How long records wait for company before they are appended.
-const FLUSH_DELAY: Duration = Duration::from_millis(10);
-/// Wait before a refused batch is appended again.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long the log is read for a batch of unknown fate before it is appended again.
 const SETTLE_WAIT: Duration = Duration::from_millis(500);
-/// Submissions that may wait for the committer.
-const QUEUE_LENGTH: usize = 4_096;
 /// Encoded bytes that a batch may hold besides its records.
 const BATCH_OVERHEAD_BYTES: usize = 64;
+/// Largest encoded records of one submission, in bytes.
+pub const MAX_RECORD_BYTES: usize = MAX_BATCH_BYTES - BATCH_OVERHEAD_BYTES;
 
 const QUEUED: u8 = 0;
 const SENT: u8 = 1;
@@ -37,6 +38,8 @@
 pub enum CommitError {
     /// Provably not appended, and never will be.
     NotAppended,
+    /// Not appended, and too large to ever be.
+    TooLarge,
     /// They may have been appended, or may yet be.
     Unknown,
 }
@@ -47,6 +50,10 @@
             CommitError::NotAppended => {
                 Self::new(ErrorKind::LogUnavailable, "the log cannot be reached")
             }
+            CommitError::TooLarge => Self::new(
+                ErrorKind::BodyTooLarge,
+                "too large for one entry of the log",
+            ),
             CommitError::Unknown => Self::new(
                 ErrorKind::OutcomeUnknown,
                 "the log has not confirmed this yet",
@@ -58,14 +65,19 @@
 /// Result of a commit.
 pub type Result<T> = std::result::Result<T, CommitError>;
 
-struct Submission {
-    records: Vec<LogRecord>,
-    bytes: usize,
+/// Records that wait to be appended together.
+pub struct CommitSubmission {
+    /// The records.
+    pub records: Vec<LogRecord>,
+    /// Their encoded size.
+    pub bytes: usize,
+    /// When they were submitted.
+    pub since: Instant,
     phase: Arc<AtomicU8>,
-    reply: oneshot::Sender<LogOffset>,
+    reply: oneshot::Sender<Result<LogOffset>>,
 }
 
-impl Submission {
+impl CommitSubmission {
     /// Marks it as sent. False if it was withdrawn.
     fn mark_sent(&self) -> bool {
         let swapped =
@@ -82,48 +94,55 @@
 /// Takes records and appends them in groups.
 #[derive(Clone)]
 pub struct LogCommitter {
-    sender: mpsc::Sender<Submission>,
+    queue: Arc<CommitQueue>,
 }
 
 impl LogCommitter {
-    /// A committer and the loop that does its work.
+    /// A committer and the loop that does its work. The log takes so many appends a second from
+    /// all writers.
     pub fn new(
         writer: WriterId,
+        rate: u64,
         log: LogClient,
         own: watch::Receiver<OwnMark>,
     ) -> (Self, CommitLoop) {
-        let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+        let queue = Arc::new(CommitQueue::default());
         let commit_loop = CommitLoop {
             writer,
+            rate,
             sequence: 0,
             log,
             own,
-            receiver,
-            next: None,
+            queue: queue.clone(),
         };
-        (Self { sender }, commit_loop)
+        (Self { queue }, commit_loop)
+    }
+
+    /// What the committer goes by to decide how long results wait.
+    pub fn load(&self) -> &CommitLoad {
+        &self.queue.load
     }
 
     /// Appends records, together and in order, and returns where they stand.
     pub async fn submit(&self, records: Vec<LogRecord>, limit: Duration) -> Result<LogOffset> {
-        let bytes = RecordBatch::new(WriterId(0), 0)
-            .with_records(records.clone())
-            .encode()
-            .len();
+        let encoded = rmp_serde::to_vec(&records).expect("records always encode");
+        if encoded.len() > MAX_RECORD_BYTES {
+            return Err(CommitError::TooLarge);
+        }
         let phase = Arc::new(AtomicU8::new(QUEUED));
         let (reply, answer) = oneshot::channel();
-        let submission = Submission {
+        let submission = CommitSubmission {
             records,
-            bytes,
+            bytes: encoded.len(),
+            since: Instant::now(),
             phase: phase.clone(),
             reply,
         };
-        let sent = async {
-            let _ = self.sender.send(submission).await;
-            answer.await
-        };
-        match timeout(limit, sent).await {
-            Ok(Ok(offset)) => Ok(offset),
+        if !self.queue.push(submission) {
+            return Err(CommitError::NotAppended);
+        }
+        match timeout(limit, answer).await {
+            Ok(Ok(outcome)) => outcome,
             _ => Err(withdraw(&phase)),
         }
     }
@@ -140,11 +159,11 @@
 /// The loop behind a [`LogCommitter`].
 pub struct CommitLoop {
     writer: WriterId,
+    rate: u64,
     sequence: u64,
     log: LogClient,
     own: watch::Receiver<OwnMark>,
-    receiver: mpsc::Receiver<Submission>,
-    next: Option<Submission>,
+    queue: Arc<CommitQueue>,
 }
 
 impl CommitLoop {
@@ -157,63 +176,81 @@
     }
 
     async fn commit_all(&mut self) {
-        while let Some(group) = self.gather().await {
-            self.commit(group).await;
+        loop {
+            let group = self.gather().await;
+            if let Some(left) = self.commit(group).await {
+                self.commit_singly(left).await;
+            }
         }
     }
 
-    /// Waits for a submission and for what follows it shortly, up to the size of one append.
-    async fn gather(&mut self) -> Option<Vec<Submission>> {
-        let first = match self.next.take() {
-            Some(first) => first,
-            None => self.receiver.recv().await?,
-        };
-        sleep(FLUSH_DELAY).await;
-        let mut bytes = first.bytes + BATCH_OVERHEAD_BYTES;
-        let mut group = vec![first];
-        while let Ok(submission) = self.receiver.try_recv() {
-            if bytes + submission.bytes > MAX_BATCH_BYTES {
-                self.next = Some(submission);
-                break;
+    /// Waits for submissions until they are worth an append, and takes as many as fit.
+    async fn gather(&mut self) -> Vec<CommitSubmission> {
+        loop {
+            let arrived = self.queue.arrived.notified();
+            let Some((since, pending)) = self.queue.pending() else {
+                arrived.await;
+                continue;
+            };
+            let budget = AppendBudget {
+                rate: self.rate,
+                writers: self.queue.load.writers(),
+            };
+            let due = since + Duration::from_millis(flush_wait(pending, budget));
+            if Instant::now() >= due {
+                return self.queue.take(MAX_RECORD_BYTES);
             }
-            bytes += submission.bytes;
-            group.push(submission);
+            let _ = timeout_at(due, arrived).await;
         }
-        Some(group)
     }
 
-    /// Appends a group until it stands on the log or every part of it was withdrawn.
-    async fn commit(&mut self, mut group: Vec<Submission>) {
-        self.sequence += 1;
-        loop {
-            group.retain(Submission::mark_sent);
-            if group.is_empty() {
-                return;
-            }
-            let bytes = self.encode(&group);
-            match self.log.append(bytes.clone()).await {
-                AppendOutcome::Appended(offset) => return reply_all(group, offset),
-                AppendOutcome::Refused => {
-                    group.iter().for_each(Submission::mark_queued);
-                    sleep(RETRY_DELAY).await;
-                }
-                AppendOutcome::Unknown => {
-                    let offset = self.settle(bytes).await;
-                    return reply_all(group, offset);
+    /// Commits each part of a group that is too large for the log as a whole.
+    async fn commit_singly(&mut self, group: Vec<CommitSubmission>) {
+        let alone = group.len() == 1;
+        for submission in group {
+            if alone {
+                let _ = submission.reply.send(Err(CommitError::TooLarge));
+            } else if let Some(left) = self.commit(vec![submission]).await {
+                for submission in left {
+                    let _ = submission.reply.send(Err(CommitError::TooLarge));
                 }
             }
         }
     }
 
-    /// Appends the same bytes again and again until their sequence number is seen on the log.
-    async fn settle(&mut self, bytes: Vec<u8>) -> LogOffset {
+    /// Appends a group until it stands on the log or every part of it was withdrawn. Returns the
+    /// group if it is too large.
+    async fn commit(&mut self, mut group: Vec<CommitSubmission>) -> Option<Vec<CommitSubmission>> {
+        self.sequence += 1;
+        let mut attempts = CommitAttempts::default();
+        let mut bytes = Vec::new();
         loop {
-            if let Some(offset) = self.wait_seen().await {
-                return offset;
+            if attempts.is_withdrawable() {
+                group.retain(CommitSubmission::mark_sent);
+                if group.is_empty() {
+                    return None;
+                }
+                bytes = self.encode(&group);
             }
-            metrics::counter!("amaranth_log_append_repeats_total").increment(1);
-            if let AppendOutcome::Refused = self.log.append(bytes.clone()).await {
-                sleep(RETRY_DELAY).await;
+            let outcome = self.log.append(bytes.clone()).await;
+            note_attempt(outcome, bytes.len());
+            let offset = match attempts.after(outcome) {
+                CommitStep::Done(offset) => Some(offset),
+                CommitStep::Look => self.wait_seen().await,
+                CommitStep::Discard => {
+                    group.iter().for_each(CommitSubmission::mark_queued);
+                    return Some(group);
+                }
+                CommitStep::Backoff(most_ms) if attempts.is_withdrawable() => {
+                    group.iter().for_each(CommitSubmission::mark_queued);
+                    sleep(jittered(most_ms)).await;
+                    None
+                }
+                CommitStep::Backoff(_) => self.wait_seen().await,
+            };
+            if let Some(offset) = offset {
+                reply_all(group, offset);
+                return None;
             }
         }
     }
@@ -227,17 +264,32 @@
         }
     }
 
-    fn encode(&self, group: &[Submission]) -> Vec<u8> {
+    fn encode(&self, group: &[CommitSubmission]) -> Vec<u8> {
         let records = group.iter().flat_map(|s| s.records.iter().cloned());
         RecordBatch::new(self.writer, self.sequence)
-            .with_records(records.collect())
+            .with_records(merge_results(records.collect()))
             .encode()
     }
 }
 
-fn reply_all(group: Vec<Submission>, offset: LogOffset) {
-    metrics::counter!("amaranth_log_appends_total").increment(1);
+/// A wait between half of a span and the whole of it, so that writers do not come back together.
+fn jittered(most_ms: u64) -> Duration {
+    Duration::from_millis(rand::rng().random_range(most_ms / 2..=most_ms))
+}
+
+fn note_attempt(outcome: AppendOutcome, bytes: usize) {
+    let name = match outcome {
+        AppendOutcome::Appended(_) => "appended",
+        AppendOutcome::Refused => "refused",
+        AppendOutcome::TooLarge => "too_large",
+        AppendOutcome::Unknown => "unknown",
+    };
+    metrics::counter!("amaranth_log_appends_total", "outcome" => name).increment(1);
+    metrics::counter!("amaranth_log_append_bytes_total", "outcome" => name).increment(bytes as u64);
+}
+
+fn reply_all(group: Vec<CommitSubmission>, offset: LogOffset) {
     for submission in group {
-        let _ = submission.reply.send(offset);
+        let _ = submission.reply.send(Ok(offset));
     }
 }
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -36,6 +36,7 @@
 }
 
 fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+    context.state.note_log_time(reply.now_ms);
     reply
         .entries
         .iter()
--- a/crates/entry/src/item_reader.rs
+++ b/crates/entry/src/item_reader.rs
@@ -1,8 +1,10 @@
 //! Reads items and results from the log by offset, with a small cache of decoded entries.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 
+use amaranth_kernel::ledger::ItemRange;
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::{JobId, LogOffset};
 use amaranth_wire::record::{ItemInput, ItemOutcome, LogRecord, RecordBatch};
@@ -15,6 +17,17 @@
 /// Result of a read.
 pub type Result<T> = std::result::Result<T, CallError>;
 
+/// One piece of the upload of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemPiece {
+    /// The job.
+    pub job: JobId,
+    /// The upload whose items count.
+    pub upload: u64,
+    /// Where the piece stands.
+    pub range: ItemRange,
+}
+
 /// Reads of entries by offset.
 pub struct ItemReader {
     log: LogClient,
@@ -30,28 +43,32 @@
         }
     }
 
-    /// The items of a job in one entry, starting with that of index `first`.
-    pub async fn items(
-        &self,
-        offset: LogOffset,
-        job: &JobId,
-        first: u32,
-    ) -> Result<Vec<ItemInput>> {
-        let batch = self.batch(offset).await?;
+    /// Some items of a job, of those that one piece of an upload holds.
+    pub async fn items(&self, piece: &ItemPiece, indexes: Range<u32>) -> Result<Vec<ItemInput>> {
+        let batch = self.batch(piece.range.offset).await?;
         let found = batch.records.iter().find_map(|record| match record {
             LogRecord::JobItems {
-                job: j,
-                first: f,
+                job,
+                upload,
+                first,
                 items,
-                ..
-            } if j == job && *f == first => Some(items.clone()),
+            } if *job == piece.job && *upload == piece.upload && *first == piece.range.first => {
+                let position = |index: u32| index.saturating_sub(*first) as usize;
+                items.get(position(indexes.start)..position(indexes.end))
+            }
             _ => None,
         });
-        found.ok_or_else(|| CallError::new(ErrorKind::Internal, "items missing on the log"))
+        let missing = || CallError::new(ErrorKind::Internal, "items missing on the log");
+        found.map(<[ItemInput]>::to_vec).ok_or_else(missing)
     }
 
-    /// The results of a job in one entry, in order.
-    pub async fn outcomes(&self, offset: LogOffset, job: &JobId) -> Result<Vec<ItemOutcome>> {
+    /// The results of some items of a job in one entry, in order.
+    pub async fn outcomes(
+        &self,
+        offset: LogOffset,
+        job: &JobId,
+        indexes: &Range<u32>,
+    ) -> Result<Vec<ItemOutcome>> {
         let batch = self.batch(offset).await?;
         let records = batch.records.iter();
         let outcomes = records.filter_map(|record| match record {
@@ -60,7 +77,8 @@
             } if j == job => Some(outcomes),
             _ => None,
         });
-        Ok(outcomes.flatten().cloned().collect())
+        let wanted = outcomes.flatten().filter(|o| indexes.contains(&o.index));
+        Ok(wanted.cloned().collect())
     }
 
     async fn batch(&self, offset: LogOffset) -> Result<Arc<RecordBatch>> {
--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -2,20 +2,22 @@
 
 use std::time::Duration;
 
-use amaranth_kernel::ledger::ItemRange;
 use amaranth_net::answer::{JSON, error_json};
 use amaranth_net::client::{CallLimits, HttpCall};
 use amaranth_net::telemetry::quote;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::{JobId, LeaseEpoch, ShardId, TierId};
+use amaranth_wire::id::{LeaseEpoch, ShardId, TierId};
 use amaranth_wire::message::JobPhase;
 use amaranth_wire::record::{ItemOutcome, LogRecord};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::context::{InstanceContext, Result};
+use crate::item_reader::ItemPiece;
 use crate::lease_keeper::LeaseKeeper;
+use crate::running_items::{ItemKey, RunningItems};
 
 /// Attempts before an item ends as failed.
 const MAX_ATTEMPTS: u8 = 3;
@@ -25,14 +27,16 @@
 const ITEM_LIMIT: Duration = Duration::from_secs(60);
 /// Longest wait for a result to reach the log before it is submitted again.
 const COMMIT_LIMIT: Duration = Duration::from_secs(30);
+/// Largest result of an item, in bytes; one entry of the log must hold it.
+const MAX_RESULT_BYTES: usize = 768 << 10;
 /// First status that is a fault of the upstream and not of the item.
 const FIRST_RETRIED_STATUS: u16 = 500;
 
 /// One item to run.
 #[derive(Debug, Clone)]
 pub struct ItemTask {
-    /// Its job.
-    pub job: JobId,
+    /// Its job and the piece that holds it.
+    pub piece: ItemPiece,
     /// The tier that runs it.
     pub tier: TierId,
     /// The shard of the job.
@@ -41,66 +45,112 @@
     pub epoch: LeaseEpoch,
     /// Its index.
     pub index: u32,
-    /// The entry that holds it.
-    pub range: ItemRange,
+    /// Ends the run.
+    pub cancel: CancellationToken,
 }
 
-/// Runs an item until it has a result and the result is folded. Ends early when the lease is
-/// lost or the job has ended.
-pub async fn run(context: &InstanceContext, keeper: &LeaseKeeper, task: ItemTask) {
-    let body = match read_item(context, &task).await {
+impl ItemTask {
+    /// Names the item.
+    pub fn key(&self) -> ItemKey {
+        (self.piece.job.clone(), self.index)
+    }
+}
+
+/// Runs an item until it has a result and the result is folded. Ends early when the job has
+/// ended, and before a result is there also when the lease is lost.
+pub async fn run(
+    context: &InstanceContext,
+    keeper: &LeaseKeeper,
+    running: &RunningItems,
+    task: &ItemTask,
+) {
+    context.committer.load().add_running();
+    let outcome = tokio::select! {
+        outcome = run_attempts(context, keeper, task) => outcome,
+        () = task.cancel.cancelled() => None,
+    };
+    if let Some(outcome) = &outcome {
+        running.finish(&task.key(), outcome.body.len());
+    }
+    context.committer.load().remove_running();
+    if let Some(outcome) = outcome {
+        record(context, task, outcome).await;
+    }
+}
+
+async fn run_attempts(
+    context: &InstanceContext,
+    keeper: &LeaseKeeper,
+    task: &ItemTask,
+) -> Option<ItemOutcome> {
+    let body = match read_item(context, task).await {
         Ok(body) => body,
         Err(e) => {
-            log::warn!(
-                "event=item_unreadable job={} error={}",
-                task.job,
-                quote(&e.message)
-            );
-            return sleep(RETRY_DELAY).await;
+            let (job, error) = (&task.piece.job, quote(&e.message));
+            log::warn!("event=item_unreadable job={job} error={error}");
+            sleep(RETRY_DELAY).await;
+            return None;
         }
     };
     for attempt in 1..=MAX_ATTEMPTS {
-        if !may_run(context, keeper, &task) {
-            return;
+        if keeper.current(task.shard) != Some(task.epoch) || !is_wanted(context, task) {
+            return None;
         }
-        match call(context, &task, body.clone()).await {
+        match call(context, task, body.clone()).await {
             Ok((status, body)) if status < FIRST_RETRIED_STATUS => {
-                return record(context, keeper, &task, attempt, status, body).await;
+                return Some(outcome(task, attempt, status, body));
             }
             Ok(_) => {}
-            Err(e) => log::debug!(
-                "event=item_failed job={} error={}",
-                task.job,
-                quote(&e.message)
-            ),
+            Err(e) => {
+                let (job, error) = (&task.piece.job, quote(&e.message));
+                log::debug!("event=item_failed job={job} error={error}");
+            }
         }
         sleep(RETRY_DELAY).await;
     }
     let message = format!("no upstream could do this item in {MAX_ATTEMPTS} attempts");
     let error = CallError::new(ErrorKind::UpstreamFailed, message);
-    let body = error_json(&error).to_string().into_bytes();
-    let status = error.kind.row().status;
-    record(context, keeper, &task, MAX_ATTEMPTS, status, body).await;
+    Some(failure(task, MAX_ATTEMPTS, &error))
+}
+
+fn outcome(task: &ItemTask, attempts: u8, status: u16, body: Vec<u8>) -> ItemOutcome {
+    if body.len() > MAX_RESULT_BYTES {
+        let message = format!("the result is larger than {MAX_RESULT_BYTES} bytes");
+        let error = CallError::new(ErrorKind::UpstreamRejected, message);
+        return failure(task, attempts, &error);
+    }
+    ItemOutcome {
+        index: task.index,
+        status,
+        attempts,
+        body,
+    }
+}
+
+fn failure(task: &ItemTask, attempts: u8, error: &CallError) -> ItemOutcome {
+    ItemOutcome {
+        index: task.index,
+        status: error.kind.row().status,
+        attempts,
+        body: error_json(error).to_string().into_bytes(),
+    }
 }
 
 async fn read_item(context: &InstanceContext, task: &ItemTask) -> Result<Vec<u8>> {
-    let range = task.range;
-    let items = context
-        .items
-        .items(range.offset, &task.job, range.first)
-        .await?;
-    let position = (task.index - range.first) as usize;
-    let item = items.into_iter().nth(position);
+    let indexes = task.index..task.index + 1;
+    let items = context.items.items(&task.piece, indexes).await?;
     let missing = || CallError::new(ErrorKind::Internal, "item missing on the log");
-    item.map(|item| item.body).ok_or_else(missing)
+    items
+        .into_iter()
+        .next()
+        .map(|item| item.body)
+        .ok_or_else(missing)
 }
 
-fn may_run(context: &InstanceContext, keeper: &LeaseKeeper, task: &ItemTask) -> bool {
-    if keeper.current(task.shard) != Some(task.epoch) {
-        return false;
-    }
+/// Whether the job still runs and the item has no result.
+fn is_wanted(context: &InstanceContext, task: &ItemTask) -> bool {
     let ledger = context.state.shard(task.shard);
-    let state = ledger.get(&task.job);
+    let state = ledger.get(&task.piece.job);
     state.is_some_and(|state| {
         state.phase() == JobPhase::InProgress && !state.finished.contains(task.index)
     })
@@ -125,31 +175,19 @@
     Ok((status, body.to_vec()))
 }
 
-/// Submits a result until it is folded, the lease is lost or the job has ended.
-async fn record(
-    context: &InstanceContext,
-    keeper: &LeaseKeeper,
-    task: &ItemTask,
-    attempts: u8,
-    status: u16,
-    body: Vec<u8>,
-) {
+/// Submits a result until it is folded or the job has ended. The lease does not matter any more:
+/// the first result on the log counts, whoever brings it.
+async fn record(context: &InstanceContext, task: &ItemTask, outcome: ItemOutcome) {
     let record = LogRecord::ItemsFinished {
-        job: task.job.clone(),
+        job: task.piece.job.clone(),
         epoch: task.epoch,
-        outcomes: vec![ItemOutcome {
-            index: task.index,
-            status,
-            attempts,
-            body,
-        }],
+        outcomes: vec![outcome],
     };
-    while may_run(context, keeper, task) {
+    while is_wanted(context, task) {
         let submitted = context.committer.submit(vec![record.clone()], COMMIT_LIMIT);
-        if let Ok(offset) = submitted.await
-            && context.state.wait_folded(offset, COMMIT_LIMIT).await
-        {
-            return;
+        match submitted.await {
+            Ok(offset) => drop(context.state.wait_folded(offset, COMMIT_LIMIT).await),
+            Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
--- a/crates/entry/src/lease_keeper.rs
+++ b/crates/entry/src/lease_keeper.rs
@@ -4,31 +4,26 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranth_kernel::lease::LEASE_TTL_MS;
+use amaranth_kernel::lease::HeldLease;
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{LeaseEpoch, ShardId};
 use amaranth_wire::record::{LeaseName, LogRecord};
 
 use crate::context::InstanceContext;
 
-/// How much earlier than the log this instance lets its leases end, in milliseconds.
-const MARGIN_MS: u64 = 1_500;
-/// Age at which a lease is renewed, in milliseconds.
-const RENEW_AFTER_MS: u64 = 2_000;
 /// Longest wait for a claim or renewal on the log.
 const COMMIT_LIMIT: Duration = Duration::from_secs(4);
 
 #[derive(Debug, Clone, Copy)]
-struct HeldLease {
-    epoch: LeaseEpoch,
-    renewed_ms: u64,
+struct KeptLease {
+    lease: HeldLease,
     renewing: bool,
 }
 
 /// The leases that this instance believes to hold.
 #[derive(Debug, Default)]
 pub struct LeaseKeeper {
-    held: Mutex<HashMap<ShardId, HeldLease>>,
+    held: Mutex<HashMap<ShardId, KeptLease>>,
 }
 
 impl LeaseKeeper {
@@ -36,9 +31,26 @@
     /// was sent.
     pub fn current(&self, shard: ShardId) -> Option<LeaseEpoch> {
         let held = self.held.lock().expect("not poisoned");
-        let lease = held.get(&shard)?;
-        let ends_ms = lease.renewed_ms + LEASE_TTL_MS - MARGIN_MS;
-        (steady_ms() < ends_ms).then_some(lease.epoch)
+        let lease = held.get(&shard)?.lease;
+        lease.is_valid(steady_ms()).then_some(lease.epoch)
+    }
+
+    /// Whether any lease is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.lock().expect("not poisoned").is_empty()
+    }
+
+    /// Stops acting under a lease and gives it back, so that another instance need not wait until
+    /// it expires.
+    pub async fn release(&self, context: &InstanceContext, name: LeaseName) {
+        self.held.lock().expect("not poisoned").remove(&name.shard);
+        let (shard, epoch) = (name.shard, name.epoch);
+        let record = LogRecord::LeasesReleased { leases: vec![name] };
+        let released = context.committer.submit(vec![record], COMMIT_LIMIT).await;
+        log::info!(
+            "event=lease_released shard={shard} epoch={epoch} appended={}",
+            released.is_ok()
+        );
     }
 
     /// Claims a shard that was last held under the given epoch.
@@ -66,12 +78,11 @@
             return;
         }
         log::info!("event=lease_claimed shard={shard} epoch={epoch}");
-        let lease = HeldLease {
-            epoch,
-            renewed_ms: sent_ms,
+        let kept = KeptLease {
+            lease: HeldLease { epoch, sent_ms },
             renewing: false,
         };
-        self.held.lock().expect("not poisoned").insert(shard, lease);
+        self.held.lock().expect("not poisoned").insert(shard, kept);
     }
 
     /// Starts the renewal of every lease that is due for it, in one record.
@@ -95,12 +106,13 @@
         };
         let mut held = self.held.lock().expect("not poisoned");
         for name in leases {
-            let Some(lease) = held.get_mut(&name.shard) else {
+            let kept = held.get_mut(&name.shard);
+            let Some(kept) = kept.filter(|kept| kept.lease.epoch == name.epoch) else {
                 continue;
             };
-            lease.renewing = false;
+            kept.renewing = false;
             if renewed && context.state.leases().is_current(name.shard, name.epoch) {
-                lease.renewed_ms = sent_ms;
+                kept.lease.sent_ms = sent_ms;
             }
         }
     }
@@ -109,15 +121,15 @@
         let now_ms = steady_ms();
         let leases = context.state.leases();
         let mut held = self.held.lock().expect("not poisoned");
-        held.retain(|shard, lease| leases.is_current(*shard, lease.epoch));
+        held.retain(|shard, kept| leases.is_current(*shard, kept.lease.epoch));
         let due = held
             .iter_mut()
-            .filter(|(_, lease)| !lease.renewing && now_ms >= lease.renewed_ms + RENEW_AFTER_MS);
-        due.map(|(shard, lease)| {
-            lease.renewing = true;
+            .filter(|(_, kept)| !kept.renewing && kept.lease.is_renewal_due(now_ms));
+        due.map(|(shard, kept)| {
+            kept.renewing = true;
             LeaseName {
                 shard: *shard,
-                epoch: lease.epoch,
+                epoch: kept.lease.epoch,
             }
         })
         .collect()
--- a/crates/entry/src/log_client.rs
+++ b/crates/entry/src/log_client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_kernel::commit::AppendOutcome;
 use amaranth_net::client::{CallLimits, HttpCall, HttpClient, HttpError};
 use amaranth_wire::id::LogOffset;
 use amaranth_wire::platform::{AppendReply, LOG_APPEND_PATH, LOG_READ_PATH, ReadReply};
@@ -18,18 +19,9 @@
 /// Most entries of one read.
 const READ_MAX: usize = 1_024;
 /// Statuses with which the log says that nothing was appended.
-const REFUSED: [u16; 3] = [413, 429, 503];
-
-/// What became of an append.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AppendOutcome {
-    /// It stands at this offset.
-    Appended(LogOffset),
-    /// Provably not appended.
-    Refused,
-    /// It may have been appended, or may yet be.
-    Unknown,
-}
+const REFUSED: [u16; 2] = [429, 503];
+/// Status with which the log says that an entry is too large.
+const TOO_LARGE: u16 = 413;
 
 /// Result of a read.
 pub type Result<T> = std::result::Result<T, HttpError>;
@@ -64,6 +56,7 @@
                 Ok(reply) => AppendOutcome::Appended(reply.offset),
                 Err(_) => AppendOutcome::Unknown,
             },
+            Ok((TOO_LARGE, _)) => AppendOutcome::TooLarge,
             Ok((status, _)) if REFUSED.contains(&status) => AppendOutcome::Refused,
             Ok(_) => AppendOutcome::Unknown,
             Err(e) if e.is_unsent() => AppendOutcome::Refused,
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -80,11 +80,12 @@
     if let Err(e) = client.fetch(report, limits).await {
         log::debug!("event=list_report_failed error={}", quote(&e.to_string()));
     }
-    match client
-        .fetch_json(HttpCall::get(platform, LIST_PATH), limits)
-        .await
-    {
-        Ok(listed) => context.members.replace(listed),
+    let read = HttpCall::get(platform, LIST_PATH);
+    match client.fetch_json::<Vec<ListedInstance>>(read, limits).await {
+        Ok(listed) => {
+            context.committer.load().set_writers(listed.len() as u64);
+            context.members.replace(listed);
+        }
         Err(e) => log::debug!("event=list_read_failed error={}", quote(&e.to_string())),
     }
 }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,44 +4,37 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranth_kernel::hashing::rendezvous_order;
-use amaranth_kernel::ledger::SHARD_COUNT;
-use amaranth_net::clock::unix_ms;
-use amaranth_wire::id::{JobId, LeaseEpoch, ShardId};
+use amaranth_kernel::lease::{ShardStep, ShardView, decide_shard};
+use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT};
+use amaranth_wire::id::{LeaseEpoch, ShardId};
 use amaranth_wire::message::JobPhase;
+use amaranth_wire::record::LeaseName;
 use tokio::time::sleep;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::context::InstanceContext;
+use crate::item_reader::ItemPiece;
 use crate::item_run::{self, ItemTask};
 use crate::lease_keeper::LeaseKeeper;
+use crate::running_items::RunningItems;
+use crate::shard_preference::ShardPreference;
 
 /// Time between two looks at the jobs.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
-/// Items that one instance runs at once.
-const RUNNING_LIMIT: usize = 32;
-
-/// What an instance does about one shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ShardStep {
-    /// It holds the shard: run items.
-    Run(LeaseEpoch),
-    /// The shard is free and this instance should have it.
-    Claim(Option<LeaseEpoch>),
-    /// Another instance has it or should take it.
-    Leave,
-}
 
 /// The shards and items in this instance's hands.
-#[derive(Default)]
 pub struct ShardOwner {
+    preference: ShardPreference,
     keeper: Arc<LeaseKeeper>,
     claiming: Arc<Mutex<HashSet<ShardId>>>,
-    running: Arc<Mutex<HashSet<(JobId, u32)>>>,
+    running: Arc<RunningItems>,
+    /// Keeps a planned stop waiting until every lease is given back.
+    stop_hold: Option<TaskTrackerToken>,
 }
 
 /// Owns shards until the instance ends.
 pub async fn run(context: Arc<InstanceContext>) {
-    let owner = ShardOwner::default();
+    let mut owner = ShardOwner::new(&context);
     while !context.stop.is_cancelled() {
         owner.look(&context);
         tokio::select! {
@@ -52,32 +45,61 @@
 }
 
 impl ShardOwner {
-    fn look(&self, context: &Arc<InstanceContext>) {
+    fn new(context: &InstanceContext) -> Self {
+        Self {
+            preference: ShardPreference::new(context),
+            keeper: Arc::default(),
+            claiming: Arc::default(),
+            running: Arc::default(),
+            stop_hold: None,
+        }
+    }
+
+    fn look(&mut self, context: &Arc<InstanceContext>) {
+        self.preference.refresh(context);
         self.keeper.renew_due(context);
+        self.running.cancel_unwanted(|job| {
+            let ledger = context.state.shard_for(job);
+            let state = ledger.get(job);
+            state.is_some_and(|state| state.phase() == JobPhase::InProgress)
+        });
         for shard in (0..SHARD_COUNT).map(ShardId) {
-            if !has_work(context, shard) {
-                continue;
-            }
-            match self.decide(context, shard) {
-                ShardStep::Run(epoch) => self.start_items(context, shard, epoch),
-                ShardStep::Claim(after) => self.start_claim(context, shard, after),
-                ShardStep::Leave => {}
-            }
+            self.look_at(context, shard);
         }
+        self.hold_stop(context);
     }
 
-    fn decide(&self, context: &InstanceContext, shard: ShardId) -> ShardStep {
-        if let Some(epoch) = self.keeper.current(shard) {
-            return ShardStep::Run(epoch);
+    fn look_at(&self, context: &Arc<InstanceContext>, shard: ShardId) {
+        let held = self.keeper.current(shard);
+        if held.is_none() && !has_work(&context.state.shard(shard)) {
+            return;
         }
+        match decide_shard(self.view(context, shard, held)) {
+            ShardStep::Run(epoch) => self.start_items(context, shard, epoch),
+            ShardStep::Claim(after) => self.start_claim(context, shard, after),
+            ShardStep::Release(epoch) => self.start_release(context, LeaseName { shard, epoch }),
+            ShardStep::Finish | ShardStep::Leave => {}
+        }
+    }
+
+    fn view(
+        &self,
+        context: &InstanceContext,
+        shard: ShardId,
+        held: Option<LeaseEpoch>,
+    ) -> ShardView {
         let leases = context.state.leases();
         let lease = leases.get(shard);
-        if lease.is_some_and(|lease| !lease.is_claimable(unix_ms())) || context.is_leaving() {
-            return ShardStep::Leave;
-        }
-        match is_preferred(context, shard) {
-            true => ShardStep::Claim(lease.map(|lease| lease.epoch)),
-            false => ShardStep::Leave,
+        let log_now_ms = context.state.log_now_ms();
+        ShardView {
+            held,
+            last: lease.map(|lease| lease.epoch),
+            claimable: log_now_ms
+                .is_some_and(|now_ms| lease.is_none_or(|lease| lease.is_claimable(now_ms))),
+            preferred: self.preference.is_first(shard),
+            displaced_ms: self.preference.displaced_ms(shard),
+            leaving: context.is_leaving(),
+            busy: self.running.is_busy(shard),
         }
     }
 
@@ -98,15 +120,34 @@
         });
     }
 
+    fn start_release(&self, context: &Arc<InstanceContext>, name: LeaseName) {
+        let (held, keeper) = (context.clone(), self.keeper.clone());
+        context
+            .work
+            .spawn(async move { keeper.release(&held, name).await });
+    }
+
+    /// A planned stop waits as long as leases are held; a lapsed one is not waited for.
+    fn hold_stop(&mut self, context: &InstanceContext) {
+        let shards = (0..SHARD_COUNT).map(ShardId);
+        let held = shards.filter(|shard| self.keeper.current(*shard).is_some());
+        let count = held.count();
+        metrics::gauge!("amaranth_leases_held").set(count as f64);
+        if count > 0 {
+            self.stop_hold.get_or_insert_with(|| context.work.token());
+        } else {
+            self.stop_hold = None;
+        }
+    }
+
     fn start_items(&self, context: &Arc<InstanceContext>, shard: ShardId, epoch: LeaseEpoch) {
         for task in self.take_tasks(context, shard, epoch) {
             let (context, keeper) = (context.clone(), self.keeper.clone());
             let running = self.running.clone();
-            let key = (task.job.clone(), task.index);
             let tracker = context.work.clone();
             tracker.spawn(async move {
-                item_run::run(&context, &keeper, task).await;
-                running.lock().expect("not poisoned").remove(&key);
+                item_run::run(&context, &keeper, &running, &task).await;
+                running.remove(&task.key());
             });
         }
     }
@@ -117,28 +158,34 @@
         shard: ShardId,
         epoch: LeaseEpoch,
     ) -> Vec<ItemTask> {
-        let ledger = context.state.shard(shard);
-        let mut running = self.running.lock().expect("not poisoned");
+        let room = self.running.room();
         let mut tasks = Vec::new();
+        if room == 0 {
+            return tasks;
+        }
+        let ledger = context.state.shard(shard);
         for (job, state) in ledger.jobs() {
-            if state.phase() != JobPhase::InProgress || context.is_leaving() {
+            if state.phase() != JobPhase::InProgress {
                 continue;
             }
             for index in state.finished.missing() {
-                if running.len() >= RUNNING_LIMIT {
+                if tasks.len() >= room {
                     return tasks;
                 }
-                if !running.insert((job.clone(), index)) {
+                let Some(cancel) = self.running.start((job.clone(), index), shard) else {
                     continue;
-                }
-                let range = state.ranges.iter().rfind(|range| range.first <= index);
+                };
                 tasks.push(ItemTask {
-                    job: job.clone(),
+                    piece: ItemPiece {
+                        job: job.clone(),
+                        upload: state.upload,
+                        range: state.range_of(index).expect("ranges start at item 0"),
+                    },
                     tier: state.tier.clone(),
                     shard,
                     epoch,
                     index,
-                    range: *range.expect("ranges start at item 0"),
+                    cancel,
                 });
             }
         }
@@ -146,16 +193,7 @@
     }
 }
 
-fn has_work(context: &InstanceContext, shard: ShardId) -> bool {
-    let ledger = context.state.shard(shard);
+fn has_work(ledger: &JobLedger) -> bool {
     let mut jobs = ledger.jobs();
     jobs.any(|(_, state)| state.phase() == JobPhase::InProgress)
 }
-
-/// Whether this instance comes first for the shard among those that are listed as live.
-fn is_preferred(context: &InstanceContext, shard: ShardId) -> bool {
-    let live = context.members.live();
-    let key = shard.0.to_be_bytes();
-    let order = rendezvous_order(&key, &live, |instance| instance.as_str());
-    order.first() == Some(&&context.config.instance)
-}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -39,7 +39,9 @@
     let stop = CancellationToken::new();
     let log = LogClient::new(config.fleet.platform.address);
     let state = Arc::new(SharedState::new(config.writer));
-    let (committer, commit_loop) = LogCommitter::new(config.writer, log.clone(), state.own_mark());
+    let rate = config.fleet.platform.append_rate.as_per_second();
+    let (committer, commit_loop) =
+        LogCommitter::new(config.writer, rate, log.clone(), state.own_mark());
     let context = InstanceContext::new(config, log, state, committer, stop.clone());
     let context = Arc::new(context);
     tokio::spawn(commit_loop.run(stop.clone()));
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -7,6 +7,8 @@
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
+use amaranth_kernel::log_clock::LogClock;
+use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{BatchEntry, LogRecord};
 use tokio::sync::watch;
@@ -30,6 +32,7 @@
     config: RwLock<ConfigState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
+    clock: Mutex<LogClock>,
 }
 
 impl SharedState {
@@ -44,6 +47,7 @@
             config: RwLock::new(ConfigState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
+            clock: Mutex::new(LogClock::default()),
         }
     }
 
@@ -86,6 +90,17 @@
         self.own.subscribe()
     }
 
+    /// Takes the log's clock from an answer that just arrived.
+    pub fn note_log_time(&self, log_ms: u64) {
+        let mut clock = self.clock.lock().expect("not poisoned");
+        clock.observe(log_ms, steady_ms());
+    }
+
+    /// The earliest that the log's clock can show now, Unix milliseconds.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        self.clock.lock().expect("not poisoned").now(steady_ms())
+    }
+
     /// The configuration revision in force here.
     pub fn revision(&self) -> ConfigRevision {
         self.config().revision()
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -8,6 +8,81 @@
 /// How long a lease lasts after its last renewal, in milliseconds of the log's clock.
 pub const LEASE_TTL_MS: u64 = 6_000;
 
+/// How much earlier than the log a holder lets its lease end, in milliseconds.
+pub const HOLDER_MARGIN_MS: u64 = 1_500;
+/// Age at which a holder renews, in milliseconds.
+pub const RENEW_AFTER_MS: u64 = 2_000;
+/// How long another instance must come first for a shard before its holder gives it up, in
+/// milliseconds. Longer than a restart keeps an instance off the list.
+pub const HAND_OVER_AFTER_MS: u64 = 10_000;
+
+/// A lease as its holder counts it, on a clock that advances in suspension.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldLease {
+    /// The claim that opened it.
+    pub epoch: LeaseEpoch,
+    /// The holder's clock before the last renewal that is known to stand on the log was sent.
+    pub sent_ms: u64,
+}
+
+impl HeldLease {
+    /// Whether the holder may act under it.
+    pub fn is_valid(&self, steady_ms: u64) -> bool {
+        steady_ms < self.sent_ms + LEASE_TTL_MS - HOLDER_MARGIN_MS
+    }
+
+    /// Whether to renew it.
+    pub fn is_renewal_due(&self, steady_ms: u64) -> bool {
+        steady_ms >= self.sent_ms + RENEW_AFTER_MS
+    }
+}
+
+/// What an instance knows about one shard when it looks at it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardView {
+    /// The lease that this instance holds and that is still valid.
+    pub held: Option<LeaseEpoch>,
+    /// The last lease on the log, whoever holds it.
+    pub last: Option<LeaseEpoch>,
+    /// Whether the log lets another instance claim the shard now.
+    pub claimable: bool,
+    /// Whether this instance comes first for the shard.
+    pub preferred: bool,
+    /// For how long another instance has come first without a break, in milliseconds.
+    pub displaced_ms: u64,
+    /// Whether this instance is leaving.
+    pub leaving: bool,
+    /// Whether items of the shard still run here.
+    pub busy: bool,
+}
+
+/// What an instance does about one shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShardStep {
+    /// It holds the shard: start items.
+    Run(LeaseEpoch),
+    /// It holds the shard and gives it up soon: start no items.
+    Finish,
+    /// It holds the shard, nothing runs and it gives it up: release the lease.
+    Release(LeaseEpoch),
+    /// The shard is free and this instance should have it.
+    Claim(Option<LeaseEpoch>),
+    /// Another instance has it or should take it.
+    Leave,
+}
+
+/// Decides about one shard.
+pub fn decide_shard(view: ShardView) -> ShardStep {
+    let displaced = view.displaced_ms >= HAND_OVER_AFTER_MS;
+    match view.held {
+        Some(epoch) if !view.leaving && !displaced => ShardStep::Run(epoch),
+        Some(_) if view.busy => ShardStep::Finish,
+        Some(epoch) => ShardStep::Release(epoch),
+        None if view.claimable && view.preferred && !view.leaving => ShardStep::Claim(view.last),
+        None => ShardStep::Leave,
+    }
+}
+
 /// The current lease of one shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShardLease {
--- a/crates/kernel/src/ledger.rs
+++ b/crates/kernel/src/ledger.rs
@@ -34,12 +34,54 @@
     pub count: u32,
 }
 
+impl ItemRange {
+    /// The index after the last; `None` when no job can be that large.
+    fn end(&self) -> Option<u32> {
+        self.first.checked_add(self.count)
+    }
+}
+
+/// An entry that holds results of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResultEntry {
+    /// The entry.
+    pub offset: LogOffset,
+    /// Lowest index among its accepted results.
+    pub first: u32,
+    /// Highest index among its accepted results.
+    pub last: u32,
+}
+
+impl ResultEntry {
+    /// Whether the entry may hold the result of an item.
+    pub fn covers(&self, index: u32) -> bool {
+        (self.first..=self.last).contains(&index)
+    }
+}
+
+/// The pieces of one upload, in the order of their items and without overlap.
 #[derive(Debug, Clone)]
 struct PendingUpload {
     ranges: Vec<ItemRange>,
     time_ms: u64,
 }
 
+impl PendingUpload {
+    /// Adds a piece unless it is empty or overlaps one that came before it.
+    fn insert(&mut self, range: ItemRange) {
+        let Some(end) = range.end().filter(|&end| end > range.first) else {
+            return;
+        };
+        let position = self.ranges.partition_point(|r| r.first < range.first);
+        let (before, after) = self.ranges.split_at(position);
+        let clear_before = before.last().and_then(ItemRange::end) <= Some(range.first);
+        let clear_after = after.first().is_none_or(|next| end <= next.first);
+        if clear_before && clear_after {
+            self.ranges.insert(position, range);
+        }
+    }
+}
+
 /// One accepted job.
 #[derive(Debug, Clone)]
 pub struct JobState {
@@ -55,6 +97,8 @@
     pub submitted_ms: u64,
     /// When it is due, Unix milliseconds.
     pub deadline_ms: u64,
+    /// The upload whose items count.
+    pub upload: u64,
     /// Where its items stand.
     pub ranges: Vec<ItemRange>,
     /// Items with a result.
@@ -62,7 +106,7 @@
     /// Items whose result is a failure.
     pub failed: u32,
     /// Entries that hold at least one accepted result, in order.
-    pub result_offsets: Vec<LogOffset>,
+    pub results: Vec<ResultEntry>,
     /// Whether it was cancelled.
     pub cancelled: bool,
 }
@@ -77,6 +121,26 @@
         }
     }
 
+    /// The piece that holds an item.
+    pub fn range_of(&self, index: u32) -> Option<ItemRange> {
+        let ranges = &self.ranges;
+        ranges.iter().rfind(|range| range.first <= index).copied()
+    }
+
+    fn note_result(&mut self, offset: LogOffset, index: u32) {
+        match self.results.last_mut() {
+            Some(entry) if entry.offset == offset => {
+                entry.first = entry.first.min(index);
+                entry.last = entry.last.max(index);
+            }
+            _ => self.results.push(ResultEntry {
+                offset,
+                first: index,
+                last: index,
+            }),
+        }
+    }
+
     /// The job as callers see it.
     pub fn report(&self, job: &JobId) -> JobReport {
         JobReport {
@@ -144,7 +208,7 @@
                 time_ms,
             });
         pending.time_ms = time_ms;
-        pending.ranges.push(range);
+        pending.insert(range);
     }
 
     /// Accepts a job if it is the first with its id and all of its items are there.
@@ -165,12 +229,11 @@
         if self.jobs.contains_key(job) {
             return;
         }
-        let Some(pending) = self.uploads.remove(&(job.clone(), *upload)) else {
+        let pending = self.uploads.get(&(job.clone(), *upload));
+        let Some(pending) = pending.filter(|pending| covers_all(&pending.ranges, *count)) else {
             return;
         };
-        if !covers_all(&pending.ranges, *count) {
-            return;
-        }
+        let ranges = pending.ranges.clone();
         self.uploads.retain(|(other, _), _| other != job);
         let state = JobState {
             team: team.clone(),
@@ -179,10 +242,11 @@
             digest: digest.clone(),
             submitted_ms: *submitted_ms,
             deadline_ms: *deadline_ms,
-            ranges: pending.ranges,
+            upload: *upload,
+            ranges,
             finished: ItemBitmap::new(*count),
             failed: 0,
-            result_offsets: Vec::new(),
+            results: Vec::new(),
             cancelled: false,
         };
         self.jobs.insert(job.clone(), state);
@@ -196,16 +260,11 @@
         if state.cancelled {
             return;
         }
-        let mut accepted = false;
         for outcome in outcomes {
-            if !state.finished.insert(outcome.index) {
-                continue;
+            if state.finished.insert(outcome.index) {
+                state.failed += u32::from(outcome.status >= FIRST_FAILED_STATUS);
+                state.note_result(offset, outcome.index);
             }
-            accepted = true;
-            state.failed += u32::from(outcome.status >= FIRST_FAILED_STATUS);
-        }
-        if accepted && state.result_offsets.last() != Some(&offset) {
-            state.result_offsets.push(offset);
         }
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,10 +2,12 @@
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
 pub mod bitmap;
+pub mod commit;
 pub mod config_state;
 pub mod cursor;
 pub mod hashing;
 pub mod lease;
 pub mod ledger;
+pub mod log_clock;
 pub mod plugin;
 pub mod routing;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -32,6 +32,8 @@
     pub data_centre: DataCentreId,
     /// Where it listens.
     pub listen: SocketAddr,
+    /// Its size relative to the others; an instance of 0 owns no batch work.
+    pub weight: u32,
 }
 
 /// Limits on what callers send.
@@ -198,10 +200,12 @@
     let name = section.text("name");
     let data_centre = section.text("data_centre");
     let listen = section.text_or("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let weight = section.number_or("weight", 1);
     Some(InstanceSettings {
         name: name?,
         data_centre: data_centre?,
         listen: listen?,
+        weight: weight?,
     })
 }
 
--- /dev/null
+++ b/tests/batch_failures.rs
@@ -0,0 +1,155 @@
+//! Batch jobs through the loss, pause and planned stop of instances, and through trouble of the
+//! log: every item has one result, and nothing that has a result is run again.
+
+mod support;
+
+use std::time::Duration;
+
+use amaranth_net::client::{CallLimits, HttpCall};
+use amaranth_standin::token_text::whole_answer;
+use serde_json::{Value, json};
+use support::{TestFleet, batch_lines, wait_until};
+use tokio::time::sleep;
+
+const ITEMS: usize = 400;
+const TOKENS: u32 = 4;
+/// Items that one instance runs at once.
+const RUNNING_LIMIT: u64 = 32;
+
+async fn submit(fleet: &TestFleet, name: &str, key: &str) -> String {
+    submit_items(fleet, name, key, ITEMS).await
+}
+
+async fn submit_items(fleet: &TestFleet, name: &str, key: &str, items: usize) -> String {
+    let headers = [("idempotency-key", key)];
+    let lines = batch_lines("lot", items, TOKENS);
+    let answer = fleet.post(name, "/v1/batches", &headers, lines).await;
+    let (status, job) = answer.expect("an answer");
+    assert_eq!(status, 200, "{job}");
+    job["id"].as_str().expect("an id").to_owned()
+}
+
+/// How often the engines ran an item.
+async fn runs(fleet: &TestFleet) -> u64 {
+    let mut sum = 0;
+    for engine in &fleet.engines {
+        let call = HttpCall::get(engine.address, "/engine/load");
+        let limits = CallLimits::new(Duration::from_secs(5));
+        let load: Value = fleet.client.fetch_json(call, limits).await.expect("a load");
+        sum += load["served"].as_u64().expect("a count");
+    }
+    sum
+}
+
+async fn wait_progress(fleet: &TestFleet, name: &str, job: &str, least: u64) {
+    wait_until("some items are done", async || {
+        let view = fleet.get(name, &format!("/v1/batches/{job}")).await;
+        view.is_ok_and(|(_, view)| view["request_counts"]["completed"].as_u64() >= Some(least))
+    })
+    .await;
+}
+
+/// Every item has its own whole answer, once.
+async fn check_whole(fleet: &TestFleet, name: &str, job: &str) {
+    check_items(fleet, name, job, ITEMS).await;
+}
+
+async fn check_items(fleet: &TestFleet, name: &str, job: &str, items: usize) {
+    let ended = fleet.wait_job(name, job).await;
+    let counts = json!({"total": items, "completed": items, "failed": 0});
+    assert_eq!(ended["request_counts"], counts);
+    let path = format!("/v1/batches/{job}/results");
+    let lines = fleet.get_text(name, &path).await;
+    let lines: Vec<Value> = lines
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect();
+    assert_eq!(lines.len(), items);
+    for (index, line) in lines.iter().enumerate() {
+        assert_eq!(line["custom_id"], format!("lot-{index}"));
+        let text = &line["response"]["body"]["choices"][0]["message"]["content"];
+        assert_eq!(*text, whole_answer(&format!("lot {index}"), TOKENS));
+    }
+}
+
+/// Name of the instance that holds the lease of the only job.
+async fn owner_of(fleet: &TestFleet) -> String {
+    for name in fleet.entries.keys() {
+        let metrics = fleet.get_text(name, "/metrics").await;
+        if metrics.lines().any(|line| line == "amaranth_leases_held 1") {
+            return name.clone();
+        }
+    }
+    panic!("no instance holds a lease");
+}
+
+/// A fleet that is slow enough for a job to be met at work.
+async fn start_slow() -> TestFleet {
+    TestFleet::start_with(2, 3, &["--step", "30ms"], &[]).await
+}
+
+#[tokio::test]
+async fn results_survive_an_outage_longer_than_a_lease() {
+    let fleet = start_slow().await;
+    let job = submit(&fleet, "entry-1", "outage").await;
+    wait_progress(&fleet, "entry-2", &job, 20).await;
+    fleet.platform_faults(json!({"outage": true})).await;
+    sleep(Duration::from_secs(9)).await;
+    fleet.platform_faults(json!({})).await;
+    check_whole(&fleet, "entry-3", &job).await;
+    assert_eq!(runs(&fleet).await, ITEMS as u64, "nothing ran twice");
+}
+
+#[tokio::test]
+async fn lost_replies_double_nothing() {
+    let fleet = start_slow().await;
+    fleet
+        .platform_faults(json!({"lost_reply_percent": 30, "silent_percent": 10}))
+        .await;
+    let job = submit(&fleet, "entry-1", "lost").await;
+    check_whole(&fleet, "entry-3", &job).await;
+}
+
+#[tokio::test]
+async fn a_paused_owner_is_replaced_and_does_no_harm() {
+    let fleet = start_slow().await;
+    let job = submit(&fleet, "entry-1", "pause").await;
+    wait_progress(&fleet, "entry-2", &job, 20).await;
+    let owner = owner_of(&fleet).await;
+    fleet.entries[&owner].signal("STOP");
+    let mut others = fleet.entries.keys().filter(|name| **name != owner);
+    let other = others.next().expect("another instance");
+    let ended = fleet.wait_job(other, &job).await;
+    fleet.entries[&owner].signal("CONT");
+    assert_eq!(ended["request_counts"]["completed"], json!(ITEMS));
+    check_whole(&fleet, &owner, &job).await;
+    let again = runs(&fleet).await - ITEMS as u64;
+    assert!(again <= 2 * RUNNING_LIMIT, "{again} items ran again");
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_the_owner_runs_nothing_again() {
+    let mut fleet = TestFleet::start_with(2, 3, &["--step", "400ms"], &[]).await;
+    let job = submit_items(&fleet, "entry-1", "stop", 80).await;
+    wait_progress(&fleet, "entry-2", &job, 1).await;
+    let owner = owner_of(&fleet).await;
+    let mut stopped = fleet.entries.remove(&owner).expect("the owner runs");
+    stopped.signal("TERM");
+    let code = tokio::task::spawn_blocking(move || stopped.wait()).await;
+    assert_eq!(code.expect("joined"), Some(0));
+    let other = fleet.entries.keys().next().expect("another instance");
+    check_items(&fleet, other, &job, 80).await;
+    assert_eq!(runs(&fleet).await, 80, "nothing ran twice");
+}
+
+#[tokio::test]
+async fn a_resend_to_another_instance_is_the_same_job() {
+    let fleet = start_slow().await;
+    let job = submit(&fleet, "entry-1", "again").await;
+    for name in ["entry-2", "entry-3", "entry-1"] {
+        wait_progress(&fleet, name, &job, 0).await;
+        assert_eq!(submit(&fleet, name, "again").await, job);
+    }
+    check_whole(&fleet, "entry-2", &job).await;
+    assert_eq!(runs(&fleet).await, ITEMS as u64, "nothing ran twice");
+}
