Check settings for contradictions and test the tables

Cause: settings accepted keys that are no digest, two teams with one key, one address for two processes, empty lists, spans of zero, batches on plain services and a first-token objective beyond the deadline; the objective's share had no setting.

--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,16 +1,17 @@
 //! The whole settings file of a fleet. Every process reads the same file and is told which
 //! instance it is.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::Path;
 
-use amaranth_wire::id::{DataCentreId, InstanceId, TeamId, TierId};
+use amaranth_wire::id::{DataCentreId, InstanceId, TierId};
 use amaranth_wire::unit::{ByteSize, EventRate, TimeSpan};
 
 use crate::reader::{Result, Section, SettingsError, read};
+use crate::team::TeamSettings;
 use crate::tier::TierSettings;
-use crate::upstream::UpstreamGroup;
+use crate::upstream::{UpstreamGroup, UpstreamKind};
 
 /// The platform's services.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,15 +48,6 @@
     pub time: TimeSpan,
 }
 
-/// A team whose callers share a quota. Without any, callers need no key and are one team.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TeamSettings {
-    /// Its name.
-    pub name: TeamId,
-    /// SHA-256 of its key, hexadecimal.
-    pub key_sha256: String,
-}
-
 /// The whole file.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetSettings {
@@ -119,7 +111,7 @@
         let instances = section.sections("instances", decode_instance);
         let upstreams = section.sections("upstreams", UpstreamGroup::decode);
         let tiers = section.sections("tiers", TierSettings::decode);
-        let teams = section.sections("teams", decode_team);
+        let teams = section.sections("teams", TeamSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
         let settings = Self {
             fleet: fleet?,
@@ -142,12 +134,51 @@
         report_twice(section, "tiers", self.tiers.iter().map(|t| &t.name));
         report_twice(section, "teams", self.teams.iter().map(|t| &t.name));
         self.check_data_centres(section);
+        section.report_empty("data_centres", &self.data_centres);
+        section.report_empty("instances", &self.instances);
+        section.report_empty("tiers", &self.tiers);
+        self.check_addresses(section);
+        self.check_tiers(section);
+        self.check_keys(section);
+    }
+
+    fn check_tiers(&self, section: &Section<'_, '_>) {
         for tier in &self.tiers {
-            if self.group(&tier.upstreams).is_none() {
-                let (tier, group) = (&tier.name, &tier.upstreams);
-                let message = format!("tier {tier} names the unknown upstream group {group:?}");
-                section.report_at("tiers", message);
-            }
+            let name = &tier.name;
+            let message = match self.group(&tier.upstreams) {
+                None => {
+                    let group = &tier.upstreams;
+                    format!("tier {name} names the unknown upstream group {group:?}")
+                }
+                Some(group) if tier.batch && group.kind == UpstreamKind::Service => {
+                    format!("tier {name} takes batches but its upstreams are a service")
+                }
+                Some(_) => continue,
+            };
+            section.report_at("tiers", message);
+        }
+    }
+
+    /// Reports fixed addresses that are given to two processes.
+    fn check_addresses(&self, section: &Section<'_, '_>) {
+        let listeners = self.instances.iter().filter(|i| i.listen.port() != 0);
+        let listeners = listeners.map(|i| (i.listen, &i.name));
+        for (address, first, second) in shared(listeners) {
+            let message = format!("instances {first} and {second} both listen on {address}");
+            section.report_at("instances", message);
+        }
+        let addresses = self.upstreams.iter().flat_map(named_addresses);
+        for (address, first, second) in shared(addresses.filter(|(a, _)| a.port() != 0)) {
+            let message = format!("upstreams {first} and {second} both have the address {address}");
+            section.report_at("upstreams", message);
+        }
+    }
+
+    fn check_keys(&self, section: &Section<'_, '_>) {
+        let keys = self.teams.iter().map(|team| (team.key_sha256, &team.name));
+        for (_, first, second) in shared(keys) {
+            let message = format!("teams {first} and {second} have the same key");
+            section.report_at("teams", message);
         }
     }
 
@@ -169,6 +200,27 @@
     }
 }
 
+/// The addresses of a group with the names of its upstreams.
+fn named_addresses(group: &UpstreamGroup) -> impl Iterator<Item = (SocketAddr, String)> + '_ {
+    let addresses = group.addresses.iter().enumerate();
+    addresses.map(|(index, address)| (*address, format!("{}-{}", group.name, index + 1)))
+}
+
+/// What stands under a key that came before, with the earlier and the later owner.
+fn shared<K: Eq + std::hash::Hash, T: Clone>(
+    pairs: impl Iterator<Item = (K, T)>,
+) -> Vec<(K, T, T)> {
+    let mut owners = HashMap::new();
+    let mut found = Vec::new();
+    for (key, owner) in pairs {
+        match owners.get(&key) {
+            None => _ = owners.insert(key, owner),
+            Some(first) => found.push((key, T::clone(first), owner)),
+        }
+    }
+    found
+}
+
 fn report_twice<T: std::fmt::Display + Eq + std::hash::Hash>(
     section: &Section<'_, '_>,
     key: &'static str,
@@ -187,11 +239,14 @@
     let address = section.text("address");
     let append_rate = section.text_or("append_rate", EventRate::per_second(300));
     let retention = section.text_or("retention", TimeSpan::from_millis(86_400_000));
-    Some(PlatformSettings {
+    let platform = PlatformSettings {
         address: address?,
         append_rate: append_rate?,
         retention: retention?,
-    })
+    };
+    section.report_zero("append_rate", &platform.append_rate);
+    section.report_zero("retention", &platform.retention);
+    Some(platform)
 }
 
 fn decode_instance(section: &Section<'_, '_>) -> Option<InstanceSettings> {
@@ -205,15 +260,6 @@
     })
 }
 
-fn decode_team(section: &Section<'_, '_>) -> Option<TeamSettings> {
-    let name = section.text("name");
-    let key_sha256 = section.text("key_sha256");
-    Some(TeamSettings {
-        name: name?,
-        key_sha256: key_sha256?,
-    })
-}
-
 fn default_bodies() -> BodySettings {
     BodySettings {
         online: ByteSize::from_bytes(4 << 20),
@@ -229,10 +275,18 @@
     let batch = section.text_or("batch", default.batch);
     let item = section.text_or("item", default.item);
     let time = section.text_or("time", default.time);
-    Some(BodySettings {
+    let bodies = BodySettings {
         online: online?,
         batch: batch?,
         item: item?,
         time: time?,
-    })
+    };
+    section.report_zero("online", &bodies.online);
+    section.report_zero("batch", &bodies.batch);
+    section.report_zero("item", &bodies.item);
+    section.report_zero("time", &bodies.time);
+    if bodies.batch != ByteSize::default() && bodies.item > bodies.batch {
+        section.report_at("item", "\"item\" must not be larger than \"batch\"");
+    }
+    Some(bodies)
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod fleet;
 pub mod reader;
+pub mod team;
 pub mod tier;
 pub mod upstream;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -13,7 +13,7 @@
 pub struct SettingsError {
     /// Name of the file.
     pub file: String,
-    /// Line, from 1.
+    /// Line, from 1; 0 when the file could not be read.
     pub line: usize,
     /// Column in characters, from 1.
     pub column: usize,
@@ -29,7 +29,10 @@
             column,
             message,
         } = self;
-        write!(f, "{file}:{line}:{column}: {message}")
+        match line {
+            0 => write!(f, "{file}: {message}"),
+            _ => write!(f, "{file}:{line}:{column}: {message}"),
+        }
     }
 }
 
@@ -162,6 +165,20 @@
         self.log.add(value.unwrap_or(self.object.range), message);
     }
 
+    /// Reports a value that must not be its type's zero.
+    pub fn report_zero<T: Default + PartialEq>(&self, key: &'static str, value: &T) {
+        if *value == T::default() {
+            self.report_at(key, format!("{key:?} must be above 0"));
+        }
+    }
+
+    /// Reports a list that must not be empty.
+    pub fn report_empty<T>(&self, key: &'static str, list: &[T]) {
+        if list.is_empty() {
+            self.report_at(key, format!("{key:?} needs at least one entry"));
+        }
+    }
+
     fn find(&self, key: &'static str) -> Option<&'a Value<'t>> {
         self.known.borrow_mut().push(key);
         self.object.get(key).map(|prop| &prop.value)
--- a/crates/settings/src/tier.rs
+++ b/crates/settings/src/tier.rs
@@ -1,10 +1,13 @@
 //! Settings of serving tiers.
 
 use amaranth_wire::id::TierId;
-use amaranth_wire::unit::TimeSpan;
+use amaranth_wire::unit::{Percentage, TimeSpan};
 
 use crate::reader::Section;
 
+/// Share of requests that must meet the objectives unless the settings say otherwise.
+const DEFAULT_TARGET: Percentage = Percentage::from_millionths(950_000);
+
 /// One serving tier: what callers ask for by its name or its model.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TierSettings {
@@ -18,10 +21,12 @@
     pub batch: bool,
     /// Time allowed for a request that names no deadline.
     pub deadline: TimeSpan,
-    /// Objective for the first token, 95 in 100.
+    /// Objective for the first token.
     pub first_token: TimeSpan,
-    /// Objective for the gap between tokens, 95 in 100.
+    /// Objective for the gap between tokens.
     pub token_gap: TimeSpan,
+    /// Share of requests that must meet the objectives.
+    pub target: Percentage,
     /// Requests that may wait on one instance.
     pub queue_limit: u32,
     /// How long results of keyed requests stay readable.
@@ -37,9 +42,10 @@
         let deadline = section.text_or("deadline", TimeSpan::from_millis(30_000));
         let first_token = section.text_or("first_token", TimeSpan::from_millis(520));
         let token_gap = section.text_or("token_gap", TimeSpan::from_millis(70));
+        let target = section.text_or("target", DEFAULT_TARGET);
         let queue_limit = section.number_or("queue_limit", 256);
         let kept = section.text_or("kept", TimeSpan::from_millis(600_000));
-        Some(Self {
+        let tier = Self {
             name: name?,
             upstreams: upstreams?,
             repeatable: repeatable?,
@@ -47,8 +53,25 @@
             deadline: deadline?,
             first_token: first_token?,
             token_gap: token_gap?,
+            target: target?,
             queue_limit: queue_limit?,
             kept: kept?,
-        })
+        };
+        tier.check(section);
+        Some(tier)
+    }
+
+    fn check(&self, section: &Section<'_, '_>) {
+        section.report_zero("deadline", &self.deadline);
+        section.report_zero("first_token", &self.first_token);
+        section.report_zero("token_gap", &self.token_gap);
+        if self.deadline != TimeSpan::default() && self.first_token > self.deadline {
+            let message = "\"first_token\" must not be longer than \"deadline\"";
+            section.report_at("first_token", message);
+        }
+        if !(0.0 < self.target.fraction() && self.target.fraction() < 1.0) {
+            let message = "\"target\" must be above 0% and below 100%";
+            section.report_at("target", message);
+        }
     }
 }
--- a/crates/settings/src/upstream.rs
+++ b/crates/settings/src/upstream.rs
@@ -138,9 +138,7 @@
         if self.speeds.iter().any(|&speed| speed <= 0.0) {
             section.report_at("speeds", "\"speeds\" must be above 0");
         }
-        if self.data_centres.is_empty() {
-            section.report_at("data_centres", "\"data_centres\" needs at least one entry");
-        }
+        section.report_empty("data_centres", &self.data_centres);
     }
 
     /// The upstreams of the group.
--- a/crates/wire/src/unit.rs
+++ b/crates/wire/src/unit.rs
@@ -1,4 +1,4 @@
-//! Newtypes for time spans, sizes and rates, written with their unit: `250ms`, `64MiB`, `40/s`.
+//! Newtypes for time spans, sizes, rates and shares, written with their unit: `250ms`, `64MiB`, `40/s`.
 
 use std::fmt;
 use std::str::FromStr;
@@ -184,6 +184,79 @@
     }
 }
 
+/// Millionths in the whole.
+const WHOLE_MILLIONTHS: u32 = 1_000_000;
+/// Millionths in one per cent.
+const PERCENT_MILLIONTHS: u32 = 10_000;
+/// Decimal places that a percentage may have.
+const PERCENT_PLACES: usize = 4;
+
+/// A share of the whole, such as `99.9%`, exact to a millionth.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Percentage(u32);
+
+impl Percentage {
+    /// A share of so many millionths; more than the whole counts as the whole.
+    pub const fn from_millionths(parts: u32) -> Self {
+        match parts > WHOLE_MILLIONTHS {
+            true => Self(WHOLE_MILLIONTHS),
+            false => Self(parts),
+        }
+    }
+
+    /// The share between 0 and 1.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / f64::from(WHOLE_MILLIONTHS)
+    }
+}
+
+impl fmt::Display for Percentage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, rest) = (self.0 / PERCENT_MILLIONTHS, self.0 % PERCENT_MILLIONTHS);
+        if rest == 0 {
+            return write!(f, "{whole}%");
+        }
+        let places = format!("{rest:0PERCENT_PLACES$}");
+        write!(f, "{whole}.{}%", places.trim_end_matches('0'))
+    }
+}
+
+impl FromStr for Percentage {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (whole, unit) = split(text)?;
+        let unknown = || ParseUnitError::UnknownUnit {
+            given: unit.to_owned(),
+            expected: "% with at most 4 decimal places",
+        };
+        let places = unit.strip_suffix('%').ok_or_else(unknown)?;
+        let parts = match places.strip_prefix('.') {
+            None if places.is_empty() => 0,
+            Some(digits) => decimal_places(digits).ok_or_else(unknown)?,
+            None => return Err(unknown()),
+        };
+        let whole = u32::try_from(whole).map_err(|_| ParseUnitError::TooLarge)?;
+        let scaled = whole.checked_mul(PERCENT_MILLIONTHS);
+        match scaled.and_then(|scaled| scaled.checked_add(parts)) {
+            Some(parts) if parts <= WHOLE_MILLIONTHS => Ok(Self(parts)),
+            _ => Err(ParseUnitError::TooLarge),
+        }
+    }
+}
+
+/// Millionths in the decimal places of a percentage.
+fn decimal_places(digits: &str) -> Option<u32> {
+    let fits = (1..=PERCENT_PLACES).contains(&digits.len());
+    if !fits || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    format!("{digits:0<PERCENT_PLACES$}").parse().ok()
+}
+
 macro_rules! text_conversions {
     ($($name:ident),*) => {$(
         impl TryFrom<String> for $name {
@@ -202,7 +275,7 @@
     )*};
 }
 
-text_conversions!(TimeSpan, ByteSize, EventRate);
+text_conversions!(TimeSpan, ByteSize, EventRate, Percentage);
 
 /// Writes the quantity in the largest unit that divides it.
 fn display_scaled(value: u64, units: &[(&str, u64)], f: &mut fmt::Formatter<'_>) -> fmt::Result {
