--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -49,6 +49,7 @@
 /// Handles a completion call of a caller.
 pub async fn completion(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
+    context.callers.team(&request)?;
     let accepted = accept(&context, request).await?;
     relay::answer(context, accepted).await
 }
--- a/crates/entry/src/batch_intake.rs
+++ b/crates/entry/src/batch_intake.rs
@@ -1,311 +1,214 @@
-//! Takes batch jobs: a stream of JSON lines becomes records on the log, then one that seals it.
+//! Takes batch jobs: JSON lines in the body, or the name of a stored file.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_net::answer;
-use amaranth_net::body::next_chunk;
+use amaranth_net::body::{BodyLimits, BodyReader, read_json};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::route::RouteRequest;
-use amaranth_settings::tier::TierSettings;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::{JobId, TeamId};
-use amaranth_wire::record::{ItemInput, LogRecord};
-use bytes::{Bytes, BytesMut};
+use amaranth_wire::id::{FileId, JobId, TeamId};
+use amaranth_wire::record::LogRecord;
+use http::header::CONTENT_TYPE;
 use serde::Deserialize;
-use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
-use tokio::time::Instant;
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use crate::accept::{TIER_HEADER, find_tier};
+use crate::accept::{TIER_HEADER, online_limits};
+use crate::batch_upload::{BatchUpload, COMMIT_LIMIT, ITEM_ENDPOINT, StoredUpload, hex};
 use crate::batch_view;
 use crate::context::{InstanceContext, Result};
+use crate::files;
 
-/// Header that names a job, so that a resend is recognised.
+/// Header that names a request, a job or a file, so that a resend is recognised.
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Header with the time until the job is due, in milliseconds.
 pub const DEADLINE_HEADER: &str = "amaranth-deadline-ms";
+/// Longest key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
 /// Time until a job is due that names no deadline, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 24 * 3_600_000;
-/// Items are appended in pieces of about so many bytes.
-const PIECE_BYTES: usize = 512 << 10;
-/// Most items of one job.
-const MAX_ITEMS: u32 = 1_000_000;
-/// Invalid lines that one answer names.
-const MAX_REPORTED_LINES: usize = 20;
-/// Longest wait for one append of a submission.
-const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time until a job is due, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 30 * DEFAULT_DEADLINE_MS;
 /// Longest wait for the whole body of a batch.
 const BODY_LIMIT: Duration = Duration::from_secs(600);
 
-/// One line of a batch.
-#[derive(Deserialize)]
-struct BatchLine {
-    custom_id: String,
-    #[serde(default)]
-    #[allow(dead_code)]
-    method: Option<String>,
-    #[serde(default)]
-    #[allow(dead_code)]
-    url: Option<String>,
-    body: Box<RawValue>,
+/// A job made from a stored file.
+#[derive(Debug, Deserialize)]
+struct FileJobCall {
+    input_file_id: FileId,
+    endpoint: String,
+    completion_window: String,
 }
 
-/// What the upload has brought so far.
-struct UploadState {
-    job: JobId,
-    upload: u64,
-    items: Vec<ItemInput>,
-    item_bytes: usize,
-    appended: u32,
-    line: usize,
-    ids: HashSet<String>,
-    invalid: Vec<String>,
-    digest: Sha256,
-    tier: Option<TierSettings>,
-}
-
-/// Handles the submission of a job.
+/// Handles the submission of a job. JSON names a stored file; anything else is JSON lines.
 pub async fn submit(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let team: TeamId = "default".parse().expect("a valid name");
-    let key = request.header(KEY_HEADER).map(str::to_owned);
-    let job = job_id(&team, key.as_deref());
-    let named_tier = request.header(TIER_HEADER).map(str::to_owned);
-    let deadline_ms = unix_ms() + parse_deadline(&request)?;
-    let mut upload = UploadState::new(job.clone());
-    if let Some(name) = &named_tier {
-        upload.tier = Some(find_tier(&context, Some(name), "")?.clone());
-    }
-    upload.read_body(&context, request.into_body()).await?;
-    let digest = hex(&upload.digest.clone().finalize());
-    if let Some(known) = known_digest(&context, &job) {
-        return answer_known(&context, &job, &digest, &known);
+    let team = context.callers.team(&request)?;
+    match is_json(&request) {
+        true => submit_file(&context, team, request).await,
+        false => submit_lines(&context, team, request).await,
     }
-    upload
-        .seal(&context, team, digest.clone(), deadline_ms)
-        .await?;
-    match known_digest(&context, &job) {
-        Some(known) => answer_known(&context, &job, &digest, &known),
-        None => Err(CallError::new(
-            ErrorKind::Internal,
-            "the job was not accepted",
-        )),
-    }
-}
-
-/// The same for every instance that receives the same key of the same team.
-fn job_id(team: &TeamId, key: Option<&str>) -> JobId {
-    let text = match key {
-        Some(key) => hex(&Sha256::digest(format!("{team}\n{key}")))[..32].to_owned(),
-        None => format!("{:032x}", rand::random::<u128>()),
-    };
-    let id = format!("batch_{text}");
-    id.parse().expect("hexadecimal is a valid identifier")
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn parse_deadline(request: &RouteRequest) -> Result<u64> {
-    let Some(text) = request.header(DEADLINE_HEADER) else {
-        return Ok(DEFAULT_DEADLINE_MS);
-    };
-    text.parse().map_err(|_| {
-        let message = format!("{DEADLINE_HEADER} must be a whole number of milliseconds");
-        CallError::new(ErrorKind::InvalidRequest, message)
-    })
+async fn submit_lines(
+    context: &InstanceContext,
+    team: TeamId,
+    request: RouteRequest,
+) -> Result<Response> {
+    let job = job_id(&team, parse_key(&request)?);
+    let deadline_ms = unix_ms().saturating_add(parse_deadline(&request)?);
+    let mut upload =
+        BatchUpload::new(job.clone()).with_tier(context, request.header(TIER_HEADER))?;
+    let mut reader = batch_reader(context, request.into_body());
+    while let Some(chunk) = reader.next_chunk().await? {
+        if let Err(e) = upload.take_chunk(context, &chunk).await {
+            reader.discard().await;
+            return Err(e);
+        }
+    }
+    let stored = upload.finish(context).await?;
+    seal(context, &team, &job, stored, deadline_ms).await
 }
 
-fn known_digest(context: &InstanceContext, job: &JobId) -> Option<String> {
-    let shard = context.state.shard_for(job);
-    shard.get(job).map(|state| state.digest.clone())
+async fn submit_file(
+    context: &InstanceContext,
+    team: TeamId,
+    request: RouteRequest,
+) -> Result<Response> {
+    let call: FileJobCall = read_json(request.into_body(), online_limits(context)).await?;
+    let invalid = |message: String| CallError::new(ErrorKind::InvalidRequest, message);
+    if call.endpoint != ITEM_ENDPOINT {
+        return Err(invalid(format!("endpoint must be {ITEM_ENDPOINT:?}")));
+    }
+    let window_ms = parse_window(&call.completion_window).map_err(invalid)?;
+    let job = files::job_of_input(&call.input_file_id)?;
+    if batch_view::with_job(context, &team, &job, |_| ()).is_ok() {
+        return Ok(answer::json(200, &batch_view::view(context, &team, &job)?));
+    }
+    let stored = files::stored_upload(context, &team, &job)?;
+    let deadline_ms = unix_ms().saturating_add(window_ms);
+    seal(context, &team, &job, stored, deadline_ms).await
 }
 
-fn answer_known(
+/// Appends the record that accepts a job, unless the job is known, and answers with its state.
+async fn seal(
     context: &InstanceContext,
+    team: &TeamId,
     job: &JobId,
-    digest: &str,
-    known: &str,
+    stored: StoredUpload,
+    deadline_ms: u64,
 ) -> Result<Response> {
-    if digest != known {
-        let message = "the same idempotency key came with another body";
-        return Err(CallError::new(ErrorKind::KeyConflict, message));
+    let digest = stored.digest.clone();
+    if known_digest(context, job).is_none() {
+        let record = LogRecord::JobSealed {
+            job: job.clone(),
+            upload: stored.upload,
+            team: team.clone(),
+            tier: stored.tier,
+            count: stored.count,
+            digest: stored.digest,
+            submitted_ms: unix_ms(),
+            deadline_ms,
+        };
+        commit(context, record, "job").await?;
     }
-    Ok(answer::json(200, &batch_view::view(context, job)?))
-}
-
-impl UploadState {
-    fn new(job: JobId) -> Self {
-        Self {
-            job,
-            upload: rand::random(),
-            items: Vec::new(),
-            item_bytes: 0,
-            appended: 0,
-            line: 0,
-            ids: HashSet::new(),
-            invalid: Vec::new(),
-            digest: Sha256::new(),
-            tier: None,
+    match known_digest(context, job) {
+        Some(known) if known == digest => {
+            Ok(answer::json(200, &batch_view::view(context, team, job)?))
         }
-    }
-
-    /// Reads the body line by line; memory is bounded by one piece.
-    async fn read_body(&mut self, context: &InstanceContext, mut body: Body) -> Result<()> {
-        let deadline = Instant::now() + BODY_LIMIT;
-        let bodies = &context.config.fleet.bodies;
-        let (most, item_most) = (bodies.batch.as_bytes(), bodies.item.as_bytes() as usize);
-        let mut received = 0;
-        let mut rest = BytesMut::new();
-        while let Some(chunk) = next_chunk(&mut body, deadline).await? {
-            received += chunk.len() as u64;
-            if received > most {
-                let message = format!("the body is larger than {most} bytes");
-                return Err(CallError::new(ErrorKind::BodyTooLarge, message));
-            }
-            self.digest.update(&chunk);
-            rest.extend_from_slice(&chunk);
-            while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
-                let line = rest.split_to(end + 1).freeze();
-                self.take_line(context, line).await?;
-            }
-            if rest.len() > item_most {
-                let message = format!("line {} is larger than {item_most} bytes", self.line + 1);
-                return Err(CallError::new(ErrorKind::BodyTooLarge, message));
-            }
+        Some(_) => Err(key_conflict()),
+        None => {
+            let message = "the job was not accepted";
+            Err(CallError::new(ErrorKind::Internal, message))
         }
-        self.take_line(context, rest.freeze()).await?;
-        self.check_lines()
     }
+}
 
-    async fn take_line(&mut self, context: &InstanceContext, line: Bytes) -> Result<()> {
-        self.line += 1;
-        if line.iter().all(u8::is_ascii_whitespace) {
-            return Ok(());
-        }
-        match self.parse_line(context, &line) {
-            Ok(item) => self.take_item(context, item).await,
-            Err(reason) => {
-                if self.invalid.len() < MAX_REPORTED_LINES {
-                    self.invalid.push(format!("line {}: {reason}", self.line));
-                }
-                Ok(())
-            }
-        }
+/// Appends a record and waits until it is folded here.
+pub async fn commit(context: &InstanceContext, record: LogRecord, what: &str) -> Result<()> {
+    let offset = context.committer.submit(vec![record], COMMIT_LIMIT).await?;
+    if context.state.wait_folded(offset, COMMIT_LIMIT).await {
+        return Ok(());
     }
+    let message = format!("the {what} is on the log but was not read back in time");
+    Err(CallError::new(ErrorKind::OutcomeUnknown, message))
+}
 
-    fn parse_line(
-        &mut self,
-        context: &InstanceContext,
-        line: &[u8],
-    ) -> std::result::Result<ItemInput, String> {
-        let parsed: BatchLine = serde_json::from_slice(line).map_err(|e| e.to_string())?;
-        if !self.ids.insert(parsed.custom_id.clone()) {
-            return Err(format!("custom_id {:?} stands twice", parsed.custom_id));
-        }
-        let body = parsed.body.get();
-        if self.tier.is_none() {
-            let tier = tier_of_body(context, body)?;
-            self.tier = Some(tier);
-        }
-        Ok(ItemInput {
-            custom_id: parsed.custom_id,
-            body: body.as_bytes().to_vec(),
-        })
-    }
+/// The answer to a key that came with another body before.
+pub fn key_conflict() -> CallError {
+    let message = "the same idempotency key came with another body";
+    CallError::new(ErrorKind::KeyConflict, message)
+}
 
-    async fn take_item(&mut self, context: &InstanceContext, item: ItemInput) -> Result<()> {
-        if self.appended + self.items.len() as u32 >= MAX_ITEMS {
-            let message = format!("a job has at most {MAX_ITEMS} items");
-            return Err(CallError::new(ErrorKind::BodyTooLarge, message));
-        }
-        self.item_bytes += item.body.len() + item.custom_id.len();
-        self.items.push(item);
-        if self.item_bytes >= PIECE_BYTES && self.invalid.is_empty() {
-            self.append_piece(context).await?;
-        }
-        Ok(())
-    }
+/// A reader of a batch's body.
+pub fn batch_reader(context: &InstanceContext, body: Body) -> BodyReader {
+    let bodies = &context.config.fleet.bodies;
+    let limits = BodyLimits {
+        bytes: bodies.batch.as_bytes() as usize,
+        time: BODY_LIMIT,
+    };
+    BodyReader::new(body, limits).with_gap(bodies.time.duration())
+}
 
-    async fn append_piece(&mut self, context: &InstanceContext) -> Result<()> {
-        let items = std::mem::take(&mut self.items);
-        self.item_bytes = 0;
-        if items.is_empty() {
-            return Ok(());
-        }
-        let first = self.appended;
-        self.appended += items.len() as u32;
-        let record = LogRecord::JobItems {
-            job: self.job.clone(),
-            upload: self.upload,
-            first,
-            items,
-        };
-        context.committer.submit(vec![record], COMMIT_LIMIT).await?;
-        Ok(())
-    }
+/// The same for every instance that receives the same key of the same team.
+pub fn job_id(team: &TeamId, key: Option<&str>) -> JobId {
+    let text = match key {
+        Some(key) => hex(&Sha256::digest(format!("{team}\n{key}")))[..32].to_owned(),
+        None => format!("{:032x}", rand::random::<u128>()),
+    };
+    let id = format!("batch_{text}");
+    id.parse().expect("hexadecimal is a valid identifier")
+}
 
-    fn check_lines(&self) -> Result<()> {
-        if !self.invalid.is_empty() {
-            let message = self.invalid.join("; ");
-            return Err(CallError::new(ErrorKind::InvalidItems, message));
-        }
-        if self.appended == 0 && self.items.is_empty() {
-            return Err(CallError::new(
-                ErrorKind::InvalidItems,
-                "the batch has no items",
-            ));
+/// The idempotency key of a request, if it has one.
+pub fn parse_key(request: &RouteRequest) -> Result<Option<&str>> {
+    let Some(value) = request.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok();
+    match key.filter(|key| (1..=MAX_KEY_BYTES).contains(&key.len())) {
+        Some(key) => Ok(Some(key)),
+        None => {
+            let message = format!("{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} ASCII characters");
+            Err(CallError::new(ErrorKind::InvalidRequest, message))
         }
-        Ok(())
     }
+}
 
-    /// Appends the rest and the record that accepts the job, and waits until it is folded.
-    async fn seal(
-        &mut self,
-        context: &InstanceContext,
-        team: TeamId,
-        digest: String,
-        deadline_ms: u64,
-    ) -> Result<()> {
-        self.append_piece(context).await?;
-        let tier = self.tier.as_ref().expect("a batch with items has a tier");
-        let record = LogRecord::JobSealed {
-            job: self.job.clone(),
-            upload: self.upload,
-            team,
-            tier: tier.name.clone(),
-            count: self.appended,
-            digest,
-            submitted_ms: unix_ms(),
-            deadline_ms,
-        };
-        let offset = context.committer.submit(vec![record], COMMIT_LIMIT).await?;
-        if context.state.wait_folded(offset, COMMIT_LIMIT).await {
-            return Ok(());
-        }
-        let message = "the job is on the log but was not read back in time";
-        Err(CallError::new(ErrorKind::OutcomeUnknown, message))
-    }
+fn is_json(request: &RouteRequest) -> bool {
+    let content_type = request.header(CONTENT_TYPE.as_str()).unwrap_or("");
+    let essence = content_type.split(';').next().unwrap_or("").trim();
+    essence.eq_ignore_ascii_case(answer::JSON)
 }
 
-/// The tier that the model of an item's body names.
-fn tier_of_body(
-    context: &InstanceContext,
-    body: &str,
-) -> std::result::Result<TierSettings, String> {
-    #[derive(Deserialize)]
-    struct ItemModel {
-        model: String,
-    }
-    let item: ItemModel = serde_json::from_str(body).map_err(|e| format!("body: {e}"))?;
-    let tier = find_tier(context, None, &item.model).map_err(|e| e.message)?;
-    if !tier.batch {
-        return Err(format!("tier {} takes no batches", tier.name));
+fn parse_deadline(request: &RouteRequest) -> Result<u64> {
+    let Some(value) = request.headers().get(DEADLINE_HEADER) else {
+        return Ok(DEFAULT_DEADLINE_MS);
+    };
+    let ms = value.to_str().ok().and_then(|text| text.parse().ok());
+    ms.filter(|ms| *ms <= MAX_DEADLINE_MS).ok_or_else(|| {
+        let message = format!("{DEADLINE_HEADER} must be a number up to {MAX_DEADLINE_MS}");
+        CallError::new(ErrorKind::InvalidRequest, message)
+    })
+}
+
+/// A completion window such as `24h`, in milliseconds.
+fn parse_window(text: &str) -> std::result::Result<u64, String> {
+    let window: amaranth_wire::unit::TimeSpan = text
+        .parse()
+        .map_err(|e| format!("completion_window: {e}"))?;
+    match window.as_millis() {
+        ms @ 1..=MAX_DEADLINE_MS => Ok(ms),
+        _ => Err(format!(
+            "completion_window must be above 0 and up to {MAX_DEADLINE_MS}ms"
+        )),
     }
-    Ok(tier.clone())
+}
+
+fn known_digest(context: &InstanceContext, job: &JobId) -> Option<String> {
+    let shard = context.state.shard_for(job);
+    shard.get(job).map(|state| state.digest.clone())
 }
--- a/crates/entry/src/batch_view.rs
+++ b/crates/entry/src/batch_view.rs
@@ -1,41 +1,104 @@
 //! What callers see of their jobs: state, results, cancel.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
-use amaranth_kernel::ledger::{ItemRange, JobState};
+use amaranth_kernel::ledger::{ItemRange, JobState, SHARD_COUNT};
 use amaranth_net::answer;
 use amaranth_net::route::RouteRequest;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::{CommandId, JobId, LogOffset};
+use amaranth_wire::id::{CommandId, JobId, LogOffset, ShardId, TeamId};
 use amaranth_wire::message::JobPhase;
 use amaranth_wire::record::{ItemOutcome, LogRecord};
+use amaranth_wire::unit::TimeSpan;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body::Frame;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use crate::batch_intake::commit;
+use crate::batch_upload::ITEM_ENDPOINT;
 use crate::context::{InstanceContext, Result};
+use crate::files;
 
-/// Longest wait until a cancel is on the log.
-const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Jobs on one page of a list that names no limit.
+const DEFAULT_LISTED: usize = 20;
+/// Most jobs on one page of a list.
+const MAX_LISTED: usize = 100;
 /// Pieces of a result stream that may wait for a slow caller.
 const STREAM_BUFFER: usize = 4;
 
+/// Query of a list of jobs.
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    limit: Option<usize>,
+    after: Option<JobId>,
+}
+
+/// Handles a query for a team's jobs, newest first.
+pub async fn list(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
+    let query: ListQuery = request.query()?;
+    let limit = query.limit.unwrap_or(DEFAULT_LISTED);
+    if !(1..=MAX_LISTED).contains(&limit) {
+        let message = format!("limit must be 1 to {MAX_LISTED}");
+        return Err(CallError::new(ErrorKind::InvalidRequest, message));
+    }
+    let jobs = jobs_of(&context, &team);
+    let start = match query.after {
+        None => 0,
+        Some(after) => match jobs.iter().position(|job| *job == after) {
+            Some(position) => position + 1,
+            None => return Err(CallError::new(ErrorKind::NotFound, "no such batch")),
+        },
+    };
+    let page = jobs.iter().skip(start).take(limit);
+    let data: Result<Vec<_>> = page.map(|job| view(&context, &team, job)).collect();
+    let data = data?;
+    let body = json!({
+        "object": "list",
+        "first_id": data.first().map(|job| job["id"].clone()),
+        "last_id": data.last().map(|job| job["id"].clone()),
+        "has_more": start + data.len() < jobs.len(),
+        "data": data,
+    });
+    Ok(answer::json(200, &body))
+}
+
+/// A team's jobs, newest first.
+fn jobs_of(context: &InstanceContext, team: &TeamId) -> Vec<JobId> {
+    let mut jobs = Vec::new();
+    for shard in (0..SHARD_COUNT).map(ShardId) {
+        let ledger = context.state.shard(shard);
+        let own = ledger.jobs().filter(|(_, state)| state.team == *team);
+        jobs.extend(own.map(|(job, state)| (Reverse(state.submitted_ms), job.clone())));
+    }
+    jobs.sort();
+    jobs.into_iter().map(|(_, job)| job).collect()
+}
+
 /// Handles a query for a job's state.
 pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    Ok(answer::json(200, &view(&context, &job)?))
+    Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
-/// Handles a query for a job's results, as a stream of JSON lines.
+/// Handles a query for a job's results.
 pub async fn results(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    let plan = with_job(&context, &job, ResultPlan::new)?;
+    results_of(&context, &team, job)
+}
+
+/// The results of a job, as a stream of JSON lines.
+pub fn results_of(context: &Arc<InstanceContext>, team: &TeamId, job: JobId) -> Result<Response> {
+    let plan = with_job(context, team, &job, ResultPlan::new)?;
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
     context
         .work
@@ -53,8 +116,9 @@
 
 /// Handles a cancel.
 pub async fn cancel(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    with_job(&context, &job, |_| ())?;
+    with_job(&context, &team, &job, |_| ())?;
     let command: CommandId = format!("cancel-{:016x}", rand::random::<u64>())
         .parse()
         .expect("a valid identifier");
@@ -62,28 +126,29 @@
         job: job.clone(),
         command,
     };
-    let offset = context.committer.submit(vec![record], COMMIT_LIMIT).await?;
-    if !context.state.wait_folded(offset, COMMIT_LIMIT).await {
-        let message = "the cancel is on the log but was not read back in time";
-        return Err(CallError::new(ErrorKind::OutcomeUnknown, message));
-    }
-    Ok(answer::json(200, &view(&context, &job)?))
+    commit(&context, record, "cancel").await?;
+    Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
 /// A job as batch clients expect it.
-pub fn view(context: &InstanceContext, job: &JobId) -> Result<Value> {
-    with_job(context, job, |state| {
+pub fn view(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<Value> {
+    with_job(context, team, job, |state| {
         let report = state.report(job);
         let status = match report.phase {
             JobPhase::InProgress => "in_progress",
             JobPhase::Completed => "completed",
             JobPhase::Cancelled => "cancelled",
         };
+        let ended = report.phase != JobPhase::InProgress;
         json!({
             "id": job,
             "object": "batch",
-            "endpoint": "/v1/chat/completions",
+            "endpoint": ITEM_ENDPOINT,
             "status": status,
+            "input_file_id": files::input_name(job),
+            "output_file_id": ended.then(|| files::output_name(job)),
+            "error_file_id": null,
+            "completion_window": window(state),
             "created_at": state.submitted_ms / 1_000,
             "expires_at": state.deadline_ms / 1_000,
             "request_counts": {
@@ -96,18 +161,26 @@
     })
 }
 
+fn window(state: &JobState) -> String {
+    let ms = state.deadline_ms.saturating_sub(state.submitted_ms);
+    // The two clock readings lie a little apart, so the window is shown in whole seconds.
+    TimeSpan::from_millis((ms + 500) / 1_000 * 1_000).to_string()
+}
+
 fn parse_job(text: &str) -> Result<JobId> {
     let not_found = |_| CallError::new(ErrorKind::NotFound, "no such batch");
     text.parse().map_err(not_found)
 }
 
-fn with_job<T>(
+/// Looks at a job of a team; the jobs of others are unknown to it.
+pub fn with_job<T>(
     context: &InstanceContext,
+    team: &TeamId,
     job: &JobId,
     look: impl FnOnce(&JobState) -> T,
 ) -> Result<T> {
     let shard = context.state.shard_for(job);
-    match shard.get(job) {
+    match shard.get(job).filter(|state| state.team == *team) {
         Some(state) => Ok(look(state)),
         None => Err(CallError::new(ErrorKind::NotFound, "no such batch")),
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::call_meter::CallMeter;
+use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
 use crate::item_reader::ItemReader;
@@ -40,6 +42,10 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// The callers' keys.
+    pub callers: CallerKeys,
+    /// Calls in progress.
+    pub calls: CallMeter,
     /// The other instances.
     pub members: MemberTable,
     /// Work that a planned stop waits for.
@@ -62,6 +68,8 @@
         let upstreams = UpstreamTable::new(&config.fleet);
         Self {
             items: ItemReader::new(log.clone()),
+            callers: CallerKeys::new(&config.fleet.teams),
+            calls: CallMeter::default(),
             members: MemberTable::default(),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
--- /dev/null
+++ b/crates/entry/src/files.rs
@@ -0,0 +1,287 @@
+//! Files as batch clients use them: an input that a job is made from, and a job's results.
+//!
+//! A file and the job that it makes share their identifier's digits, so that no table has to be
+//! kept between them: `file-X` makes `batch_X`, whose results are `file-X-output`.
+
+use std::sync::Arc;
+
+use amaranth_kernel::file_table::StoredFile;
+use amaranth_net::answer;
+use amaranth_net::body::BodyReader;
+use amaranth_net::clock::unix_ms;
+use amaranth_net::route::RouteRequest;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::{FileId, JobId, TeamId};
+use amaranth_wire::record::LogRecord;
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use http::header::CONTENT_TYPE;
+use multer::{Constraints, Field, Multipart, SizeLimit};
+use serde_json::{Value, json};
+use tokio::sync::Mutex;
+use volo_http::response::Response;
+
+use crate::accept::TIER_HEADER;
+use crate::batch_intake::{batch_reader, commit, job_id, key_conflict, parse_key};
+use crate::batch_upload::{BatchUpload, StoredUpload};
+use crate::batch_view;
+use crate::context::{InstanceContext, Result};
+
+const JOB_PREFIX: &str = "batch_";
+const FILE_PREFIX: &str = "file-";
+const OUTPUT_SUFFIX: &str = "-output";
+/// The only purpose that a stored file may have.
+const PURPOSE: &str = "batch";
+/// Longest text field of an upload's form, in bytes.
+const TEXT_FIELD_BYTES: u64 = 1 << 10;
+/// Longest file name that is kept, in characters.
+const MAX_NAME_CHARS: usize = 128;
+/// File name where the caller gives none.
+const DEFAULT_NAME: &str = "input.jsonl";
+
+/// What of a job a file is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FileRole {
+    Input,
+    Output,
+}
+
+/// Handles the upload of a file.
+pub async fn store(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    context.check_started()?;
+    let team = context.callers.team(&request)?;
+    let job = job_id(&team, parse_key(&request)?);
+    let content_type = request.header(CONTENT_TYPE.as_str()).unwrap_or("");
+    let boundary = multer::parse_boundary(content_type).map_err(|_| {
+        let message = "expected multipart/form-data with the fields \"purpose\" and \"file\"";
+        CallError::new(ErrorKind::InvalidRequest, message)
+    })?;
+    let upload = BatchUpload::new(job.clone()).with_tier(&context, request.header(TIER_HEADER))?;
+    let reader = batch_reader(&context, request.into_body());
+    let reader = Arc::new(Mutex::new(reader));
+    let limit = SizeLimit::new().for_field("purpose", TEXT_FIELD_BYTES);
+    let constraints = Constraints::new().size_limit(limit);
+    let form = Multipart::with_constraints(chunks(reader.clone()), boundary, constraints);
+    let (stored, name) = match read_form(&context, form, upload).await {
+        Ok(read) => read,
+        Err(e) => {
+            reader.lock().await.discard().await;
+            return Err(e);
+        }
+    };
+    check_known(&context, &team, &job, &stored.digest)?;
+    let record = LogRecord::FileStored {
+        job: job.clone(),
+        upload: stored.upload,
+        team: team.clone(),
+        tier: stored.tier,
+        count: stored.count,
+        digest: stored.digest.clone(),
+        bytes: stored.bytes,
+        name,
+        stored_ms: unix_ms(),
+    };
+    commit(&context, record, "file").await?;
+    check_known(&context, &team, &job, &stored.digest)?;
+    Ok(answer::json(200, &view(&context, &team, &job)?))
+}
+
+/// Handles a query for a file.
+pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
+    let view = match parse_file(request.param(0))? {
+        (job, FileRole::Input) => view(&context, &team, &job)?,
+        (job, FileRole::Output) => output_view(&context, &team, &job)?,
+    };
+    Ok(answer::json(200, &view))
+}
+
+/// Handles a query for a file's content.
+pub async fn content(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
+    match parse_file(request.param(0))? {
+        (job, FileRole::Output) => batch_view::results_of(&context, &team, job),
+        (job, FileRole::Input) => {
+            view(&context, &team, &job)?;
+            let message = "inputs are not given back; results are";
+            Err(CallError::new(ErrorKind::NotFound, message))
+        }
+    }
+}
+
+/// The job that an input file makes.
+pub fn job_of_input(file: &FileId) -> Result<JobId> {
+    match parse_file(file.as_str())? {
+        (job, FileRole::Input) => Ok(job),
+        (_, FileRole::Output) => Err(no_such_file()),
+    }
+}
+
+/// Name of the file that a job is made from.
+pub fn input_name(job: &JobId) -> String {
+    let digits = job
+        .as_str()
+        .strip_prefix(JOB_PREFIX)
+        .unwrap_or(job.as_str());
+    format!("{FILE_PREFIX}{digits}")
+}
+
+/// Name of the file with a job's results.
+pub fn output_name(job: &JobId) -> String {
+    format!("{}{OUTPUT_SUFFIX}", input_name(job))
+}
+
+/// The upload behind a team's stored file.
+pub fn stored_upload(
+    context: &InstanceContext,
+    team: &TeamId,
+    job: &JobId,
+) -> Result<StoredUpload> {
+    with_file(context, team, job, |file| StoredUpload {
+        upload: file.upload,
+        tier: file.tier.clone(),
+        count: file.count,
+        digest: file.digest.clone(),
+        bytes: file.bytes,
+    })
+}
+
+fn no_such_file() -> CallError {
+    CallError::new(ErrorKind::NotFound, "no such file")
+}
+
+fn parse_file(text: &str) -> Result<(JobId, FileRole)> {
+    let name = text.strip_prefix(FILE_PREFIX).ok_or_else(no_such_file)?;
+    let (digits, role) = match name.strip_suffix(OUTPUT_SUFFIX) {
+        Some(digits) => (digits, FileRole::Output),
+        None => (name, FileRole::Input),
+    };
+    let job = format!("{JOB_PREFIX}{digits}").parse();
+    Ok((job.map_err(|_| no_such_file())?, role))
+}
+
+fn with_file<T>(
+    context: &InstanceContext,
+    team: &TeamId,
+    job: &JobId,
+    look: impl FnOnce(&StoredFile) -> T,
+) -> Result<T> {
+    let files = context.state.files_for(job);
+    let file = files.get(job).filter(|file| file.team == *team);
+    file.map(look).ok_or_else(no_such_file)
+}
+
+/// Refuses an upload whose key was used for another file or job.
+fn check_known(context: &InstanceContext, team: &TeamId, job: &JobId, digest: &str) -> Result<()> {
+    let stored = with_file(context, team, job, |file| file.digest.clone());
+    let sealed = batch_view::with_job(context, team, job, |state| state.digest.clone());
+    let known = [stored.ok(), sealed.ok()];
+    match known.iter().flatten().any(|known| known != digest) {
+        true => Err(key_conflict()),
+        false => Ok(()),
+    }
+}
+
+fn view(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<Value> {
+    with_file(context, team, job, |file| {
+        json!({
+            "id": input_name(job),
+            "object": "file",
+            "bytes": file.bytes,
+            "created_at": file.stored_ms / 1_000,
+            "filename": file.name,
+            "purpose": PURPOSE,
+            "status": "processed",
+        })
+    })
+}
+
+fn output_view(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<Value> {
+    batch_view::with_job(context, team, job, |state| {
+        json!({
+            "id": output_name(job),
+            "object": "file",
+            "bytes": null,
+            "created_at": state.submitted_ms / 1_000,
+            "filename": format!("{}.jsonl", output_name(job)),
+            "purpose": "batch_output",
+            "status": "processed",
+        })
+    })
+    .map_err(|_| no_such_file())
+}
+
+/// The body as the form reader takes it.
+fn chunks(reader: Arc<Mutex<BodyReader>>) -> impl Stream<Item = Result<Bytes>> + Send + 'static {
+    stream::unfold(Some(reader), |reader| async {
+        let reader = reader?;
+        // The form reader buffers for as long as pieces are at hand.
+        tokio::task::yield_now().await;
+        let chunk = reader.lock().await.next_chunk().await;
+        match chunk {
+            Ok(None) => None,
+            Ok(Some(chunk)) => Some((Ok(chunk), Some(reader))),
+            Err(e) => Some((Err(e), None)),
+        }
+    })
+}
+
+/// Reads the fields of the form: the purpose and the lines, in any order.
+async fn read_form(
+    context: &InstanceContext,
+    mut form: Multipart<'_>,
+    mut upload: BatchUpload,
+) -> Result<(StoredUpload, String)> {
+    let (mut purpose, mut name) = (None, None);
+    while let Some(field) = form.next_field().await.map_err(form_error)? {
+        match field.name() {
+            Some("purpose") => purpose = Some(field.text().await.map_err(form_error)?),
+            Some("file") if name.is_none() => {
+                name = Some(file_name(&field));
+                take_file(context, field, &mut upload).await?;
+            }
+            Some("file") => return Err(invalid_form("the form has more than one file")),
+            _ => {}
+        }
+    }
+    if purpose.as_deref() != Some(PURPOSE) {
+        return Err(invalid_form(
+            "the form's field \"purpose\" must be \"batch\"",
+        ));
+    }
+    let name = name.ok_or_else(|| invalid_form("the form has no field \"file\""))?;
+    Ok((upload.finish(context).await?, name))
+}
+
+async fn take_file(
+    context: &InstanceContext,
+    mut field: Field<'_>,
+    upload: &mut BatchUpload,
+) -> Result<()> {
+    while let Some(chunk) = field.chunk().await.map_err(form_error)? {
+        upload.take_chunk(context, &chunk).await?;
+    }
+    Ok(())
+}
+
+fn file_name(field: &Field<'_>) -> String {
+    let name = field.file_name().unwrap_or(DEFAULT_NAME);
+    name.chars().take(MAX_NAME_CHARS).collect()
+}
+
+fn invalid_form(message: &str) -> CallError {
+    CallError::new(ErrorKind::InvalidRequest, message)
+}
+
+/// Errors of the body keep their kind; the others are faults of the form.
+fn form_error(e: multer::Error) -> CallError {
+    let message = format!("invalid form: {e}");
+    match e {
+        multer::Error::StreamReadFailed(inner) => match inner.downcast::<CallError>() {
+            Ok(error) => *error,
+            Err(_) => invalid_form(&message),
+        },
+        multer::Error::FieldSizeExceeded { .. } => CallError::new(ErrorKind::BodyTooLarge, message),
+        _ => invalid_form(&message),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,17 +3,22 @@
 
 pub mod accept;
 pub mod batch_intake;
+pub mod batch_upload;
 pub mod batch_view;
+pub mod call_meter;
+pub mod caller_auth;
 pub mod cli;
 pub mod committer;
 pub mod config;
 pub mod context;
+pub mod files;
 pub mod follower;
 pub mod item_reader;
 pub mod item_run;
 pub mod lease_keeper;
 pub mod log_client;
 pub mod membership;
+pub mod models;
 pub mod operator;
 pub mod owner;
 pub mod process;
--- /dev/null
+++ b/crates/entry/src/models.rs
@@ -0,0 +1,53 @@
+//! The models that callers can name.
+
+use std::sync::Arc;
+
+use amaranth_net::answer;
+use amaranth_net::route::RouteRequest;
+use amaranth_settings::fleet::FleetSettings;
+use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::ModelId;
+use serde_json::{Value, json};
+use volo_http::response::Response;
+
+use crate::context::{InstanceContext, Result};
+
+/// Handles a query for every model.
+pub async fn list(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    context.callers.team(&request)?;
+    let fleet = &context.config.fleet;
+    let models = served_models(fleet).into_iter();
+    let data: Vec<_> = models.map(|model| view(fleet, &model)).collect();
+    Ok(answer::json(200, &json!({"object": "list", "data": data})))
+}
+
+/// Handles a query for one model.
+pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    context.callers.team(&request)?;
+    let fleet = &context.config.fleet;
+    let named = request.param(0);
+    let mut models = served_models(fleet).into_iter();
+    match models.find(|model| model.as_str() == named) {
+        Some(model) => Ok(answer::json(200, &view(fleet, &model))),
+        None => {
+            let message = format!("no tier serves the model {named:?}");
+            Err(CallError::new(ErrorKind::UnknownTarget, message))
+        }
+    }
+}
+
+/// Models that a tier serves, sorted.
+fn served_models(fleet: &FleetSettings) -> Vec<ModelId> {
+    let groups = fleet
+        .tiers
+        .iter()
+        .filter_map(|tier| fleet.group(&tier.upstreams));
+    let mut models: Vec<_> = groups.filter_map(|group| group.model.clone()).collect();
+    models.sort();
+    models.dedup();
+    models
+}
+
+fn view(fleet: &FleetSettings, model: &ModelId) -> Value {
+    json!({"id": model, "object": "model", "created": 0, "owned_by": fleet.fleet})
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -5,47 +5,87 @@
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_net::{answer, telemetry};
 use amaranth_wire::error::{CallError, ErrorKind};
+use http::HeaderValue;
+use http::header::ALLOW;
 use volo_http::response::Response;
 use volo_http::server::Router;
-use volo_http::server::route::{any, get, post};
+use volo_http::server::route::{MethodRouter, get, post};
 
+use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, operator};
+use crate::{accept, batch_intake, batch_view, files, models, operator};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
-    Router::new()
+    let router = caller_routes(context, Router::new());
+    let router = operator_routes(context, router);
+    router
+        .route("/livez", only(context, "GET", get(handler(context, live))))
         .route(
-            "/v1/chat/completions",
-            post(handler(context, accept::completion)),
+            "/readyz",
+            only(context, "GET", get(handler(context, ready))),
         )
         .route(
-            "/v1/completions",
-            post(handler(context, accept::completion)),
+            "/metrics",
+            only(context, "GET", get(handler(context, metrics))),
         )
-        .route("/v1/batches", post(handler(context, batch_intake::submit)))
-        .route("/v1/batches/{id}", get(handler(context, batch_view::show)))
-        .route(
-            "/v1/batches/{id}/results",
-            get(handler(context, batch_view::results)),
-        )
-        .route(
-            "/v1/batches/{id}/cancel",
-            post(handler(context, batch_view::cancel)),
-        )
-        .route(
-            "/v1/operator/instance",
-            get(handler(context, operator::instance)),
-        )
-        .route(
-            "/v1/operator/config",
-            get(handler(context, operator::show_config))
-                .post(handler(context, operator::set_config)),
-        )
-        .route("/livez", get(handler(context, live)))
-        .route("/readyz", get(handler(context, ready)))
-        .route("/metrics", get(handler(context, metrics)))
-        .route("/{*path}", any(handler(context, unknown)))
+        .fallback(handler(context, metered(unknown)))
+}
+
+/// Paths of callers.
+fn caller_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
+    let completion = || post(handler(context, metered(accept::completion)));
+    let submit = post(handler(context, metered(batch_intake::submit)));
+    let batches = submit.get(handler(context, metered(batch_view::list)));
+    let batch = get(handler(context, metered(batch_view::show)));
+    let results = get(handler(context, metered(batch_view::results)));
+    let cancel = post(handler(context, metered(batch_view::cancel)));
+    let store = post(handler(context, metered(files::store)));
+    let file = get(handler(context, metered(files::show)));
+    let content = get(handler(context, metered(files::content)));
+    let all_models = get(handler(context, metered(models::list)));
+    let model = get(handler(context, metered(models::show)));
+    router
+        .route("/v1/chat/completions", only(context, "POST", completion()))
+        .route("/v1/completions", only(context, "POST", completion()))
+        .route("/v1/models", only(context, "GET", all_models))
+        .route("/v1/models/{id}", only(context, "GET", model))
+        .route("/v1/files", only(context, "POST", store))
+        .route("/v1/files/{id}", only(context, "GET", file))
+        .route("/v1/files/{id}/content", only(context, "GET", content))
+        .route("/v1/batches", only(context, "GET, POST", batches))
+        .route("/v1/batches/{id}", only(context, "GET", batch))
+        .route("/v1/batches/{id}/results", only(context, "GET", results))
+        .route("/v1/batches/{id}/cancel", only(context, "POST", cancel))
+}
+
+/// Paths of operators and peers.
+fn operator_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
+    let instance = get(handler(context, metered(operator::instance)));
+    let config = get(handler(context, metered(operator::show_config)));
+    let config = config.post(handler(context, metered(operator::set_config)));
+    router
+        .route("/v1/operator/instance", only(context, "GET", instance))
+        .route("/v1/operator/config", only(context, "GET, POST", config))
+}
+
+/// Refuses every method that the route has no handler for.
+fn only(
+    context: &Arc<InstanceContext>,
+    allowed: &'static str,
+    route: MethodRouter,
+) -> MethodRouter {
+    let refuse = move |_, request| refuse_method(request, allowed);
+    route.fallback(handler(context, metered(refuse)))
+}
+
+async fn refuse_method(request: RouteRequest, allowed: &'static str) -> Result<Response> {
+    let message = format!("{} takes {allowed}", request.path());
+    let error = CallError::new(ErrorKind::MethodNotAllowed, message);
+    let mut response = answer::error(&error);
+    let allowed = HeaderValue::from_static(allowed);
+    response.headers_mut().insert(ALLOW, allowed);
+    Ok(response)
 }
 
 async fn live(_: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
@@ -59,12 +99,32 @@
     }
 }
 
-async fn metrics(_: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
-    Ok(answer::bytes(
-        200,
-        answer::TEXT,
-        telemetry::render_metrics(),
-    ))
+async fn metrics(context: Arc<InstanceContext>, _: RouteRequest) -> Result<Response> {
+    set_gauges(&context);
+    let text = telemetry::render_metrics();
+    Ok(answer::bytes(200, answer::TEXT, text))
+}
+
+/// Gauges that are only of use when they are read.
+fn set_gauges(context: &InstanceContext) {
+    let report = context.report();
+    let gauges = [
+        ("amaranth_ready", f64::from(u8::from(report.ready))),
+        ("amaranth_folded_offset", report.folded.0 as f64),
+        ("amaranth_config_revision", report.revision.0 as f64),
+        (
+            "amaranth_calls_in_progress",
+            context.calls.in_progress() as f64,
+        ),
+        ("amaranth_work_in_progress", context.work.len() as f64),
+        (
+            "amaranth_pools_abandoned",
+            context.client.abandoned() as f64,
+        ),
+    ];
+    for (name, value) in gauges {
+        metrics::gauge!(name).set(value);
+    }
 }
 
 async fn unknown(_: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -5,6 +5,7 @@
 
 use amaranth_kernel::config_state::ConfigState;
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
+use amaranth_kernel::file_table::FileTable;
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
@@ -26,6 +27,7 @@
     writer: WriterId,
     cursor: Mutex<FoldCursor>,
     jobs: Vec<Mutex<JobLedger>>,
+    files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
     config: RwLock<ConfigState>,
     folded: watch::Sender<LogOffset>,
@@ -39,7 +41,11 @@
         Self {
             writer,
             cursor: Mutex::new(FoldCursor::default()),
-            jobs: shards.map(|_| Mutex::new(JobLedger::default())).collect(),
+            jobs: shards
+                .clone()
+                .map(|_| Mutex::new(JobLedger::default()))
+                .collect(),
+            files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
             config: RwLock::new(ConfigState::default()),
             folded: watch::Sender::new(LogOffset(0)),
@@ -112,6 +118,12 @@
         self.shard(shard_of(job))
     }
 
+    /// The stored files of the shard that a job falls into.
+    pub fn files_for(&self, job: &JobId) -> MutexGuard<'_, FileTable> {
+        let index = (shard_of(job).0 % SHARD_COUNT) as usize;
+        self.files[index].lock().expect("not poisoned")
+    }
+
     fn apply(&self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
         match record {
             LogRecord::JobItems { job, .. }
@@ -120,6 +132,9 @@
             | LogRecord::JobCancelled { job, .. } => {
                 self.shard_for(job).apply(offset, time_ms, record);
             }
+            LogRecord::FileStored { job, .. } => {
+                self.files_for(job).apply(offset, time_ms, record);
+            }
             LogRecord::LeaseClaimed { .. }
             | LogRecord::LeasesRenewed { .. }
             | LogRecord::LeasesReleased { .. } => {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bitmap;
 pub mod config_state;
 pub mod cursor;
+pub mod file_table;
 pub mod hashing;
 pub mod lease;
 pub mod ledger;
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -9,6 +9,12 @@
 use tokio::time::{Instant, timeout_at};
 use volo_http::body::Body;
 
+/// Bytes that are still read from a body that is too large, so that its sender gets the answer
+/// before the connection closes.
+const DISCARD_BYTES: u64 = 16 << 20;
+/// Longest wait for those bytes.
+const DISCARD_LIMIT: Duration = Duration::from_secs(1);
+
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, CallError>;
 
@@ -21,8 +27,69 @@
     pub time: Duration,
 }
 
-/// Reads the next piece of a body; `None` at its end.
-pub async fn next_chunk(body: &mut Body, deadline: Instant) -> Result<Option<Bytes>> {
+/// Reads a body piece by piece.
+pub struct BodyReader {
+    body: Body,
+    most: u64,
+    received: u64,
+    deadline: Instant,
+    gap: Duration,
+    ended: bool,
+}
+
+impl BodyReader {
+    /// A reader that takes bodies within these limits.
+    pub fn new(body: Body, limits: BodyLimits) -> Self {
+        Self {
+            body,
+            most: limits.bytes as u64,
+            received: 0,
+            deadline: Instant::now() + limits.time,
+            gap: limits.time,
+            ended: false,
+        }
+    }
+
+    /// Limits the wait for each piece.
+    pub fn with_gap(mut self, gap: Duration) -> Self {
+        self.gap = gap;
+        self
+    }
+
+    /// The next piece; `None` at the end.
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
+        let deadline = self.deadline.min(Instant::now() + self.gap);
+        let next = next_data(&mut self.body, deadline).await;
+        let Some(chunk) = next.inspect_err(|_| self.ended = true)? else {
+            return Ok(None);
+        };
+        self.received += chunk.len() as u64;
+        if self.received > self.most {
+            self.discard().await;
+            let message = format!("the body is larger than {} bytes", self.most);
+            return Err(CallError::new(ErrorKind::BodyTooLarge, message));
+        }
+        Ok(Some(chunk))
+    }
+
+    /// Reads a little more, so that a sender that is busy sending reads the answer. Does nothing
+    /// for a body that was read before to its limit or stopped coming.
+    pub async fn discard(&mut self) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let deadline = Instant::now() + DISCARD_LIMIT;
+        let mut left = DISCARD_BYTES;
+        while let Ok(Some(chunk)) = next_data(&mut self.body, deadline).await {
+            left = left.saturating_sub(chunk.len() as u64);
+            if left == 0 {
+                return;
+            }
+        }
+    }
+}
+
+async fn next_data(body: &mut Body, deadline: Instant) -> Result<Option<Bytes>> {
     loop {
         let frame = timeout_at(deadline, body.frame()).await;
         let frame = frame.map_err(|_| {
@@ -44,14 +111,10 @@
 }
 
 /// Reads a whole body.
-pub async fn read_all(mut body: Body, limits: BodyLimits) -> Result<Bytes> {
-    let deadline = Instant::now() + limits.time;
+pub async fn read_all(body: Body, limits: BodyLimits) -> Result<Bytes> {
+    let mut reader = BodyReader::new(body, limits);
     let mut whole = BytesMut::new();
-    while let Some(chunk) = next_chunk(&mut body, deadline).await? {
-        if whole.len() + chunk.len() > limits.bytes {
-            let message = format!("the body is larger than {} bytes", limits.bytes);
-            return Err(CallError::new(ErrorKind::BodyTooLarge, message));
-        }
+    while let Some(chunk) = reader.next_chunk().await? {
         whole.extend_from_slice(&chunk);
     }
     Ok(whole.freeze())
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -60,8 +60,10 @@
         stop: stop.clone(),
     };
     let hook_stop = stop.clone();
-    let server = Server::new(router)
+    let mut server = Server::new(router)
         .register_shutdown_hook(move || async move { hook_stop.cancelled().await }.boxed());
+    // A caller may end its sending side and still read its answer.
+    server.http1_config().set_half_close(true);
     tokio::select! {
         result = server.run(incoming) => {
             if let Err(e) = result {
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -151,6 +151,10 @@
     /// Names a batch job. The same for every instance that receives the same keyed submission.
     JobId
 );
+text_id!(
+    /// Names a file: the input that a batch job was made from, or its results.
+    FileId
+);
 text_id!(
     /// Names one online request.
     RequestId
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -132,6 +132,27 @@
         /// The new value as JSON text.
         value: String,
     },
+    /// Names an upload as a file that a job can be made from. Its items were all appended before.
+    FileStored {
+        /// The job that the file makes.
+        job: JobId,
+        /// The upload whose items count.
+        upload: u64,
+        /// Who stored it.
+        team: TeamId,
+        /// The tier that its items are for.
+        tier: TierId,
+        /// Number of items.
+        count: u32,
+        /// SHA-256 of the file, hexadecimal.
+        digest: String,
+        /// Size of the file.
+        bytes: u64,
+        /// The caller's name for it.
+        name: String,
+        /// When it was stored, Unix milliseconds.
+        stored_ms: u64,
+    },
 }
 
 /// The content of one append.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file is a crate of its own and uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod raw;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -89,13 +91,24 @@
         entries: usize,
         engine_args: &[&str],
         platform_args: &[&str],
+    ) -> Self {
+        Self::start_configured(engines, entries, engine_args, platform_args, |_| {}).await
+    }
+
+    /// Starts a fleet whose settings were changed by a function.
+    pub async fn start_configured(
+        engines: usize,
+        entries: usize,
+        engine_args: &[&str],
+        platform_args: &[&str],
+        change: impl FnOnce(&mut Value),
     ) -> Self {
         let platform = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-platform"), platform_args);
         let start_engine =
             |_| TestProcess::start(env!("CARGO_BIN_EXE_amaranth-engine"), engine_args);
         let engines: Vec<_> = (0..engines).map(start_engine).collect();
         let names: Vec<_> = (1..=entries).map(|n| format!("entry-{n}")).collect();
-        let settings = write_settings(&platform, &engines, &names);
+        let settings = write_settings(&platform, &engines, &names, change);
         let mut fleet = Self {
             platform,
             engines,
@@ -153,6 +166,27 @@
         String::from_utf8(body.to_vec()).expect("text")
     }
 
+    /// A call on an instance with any method and headers.
+    pub async fn call(
+        &self,
+        name: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: impl Into<Vec<u8>>,
+    ) -> (u16, Value) {
+        let method = method.parse().expect("a method");
+        let call = HttpCall::new(method, self.address(name), path)
+            .with_headers(header_map(headers))
+            .with_body(body.into());
+        let (status, body) = self.client.fetch(call, LIMITS).await.expect("an answer");
+        let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
+        (
+            status,
+            serde_json::from_slice(&body).unwrap_or_else(|_| text()),
+        )
+    }
+
     /// A `POST` on an instance.
     pub async fn post(
         &self,
@@ -175,13 +209,8 @@
         headers: &[(&'static str, &str)],
         body: impl Into<String>,
     ) -> Result<HttpAnswer, HttpError> {
-        let mut map = HeaderMap::new();
-        for (header, value) in headers {
-            let value = HeaderValue::from_str(value).expect("a plain value");
-            map.insert(HeaderName::from_static(header), value);
-        }
         let call = HttpCall::post(self.address(name), path)
-            .with_headers(map)
+            .with_headers(header_map(headers))
             .with_body(body.into());
         self.client.send(call, LIMITS).await
     }
@@ -237,6 +266,15 @@
     }
 }
 
+fn header_map(headers: &[(&'static str, &str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (header, value) in headers {
+        let value = HeaderValue::from_str(value).expect("a plain value");
+        map.insert(HeaderName::from_static(header), value);
+    }
+    map
+}
+
 /// Body of a chat completion call.
 pub fn chat(prompt: &str, tokens: u32, stream: bool) -> String {
     json!({
@@ -264,7 +302,12 @@
     (0..items).map(line).collect()
 }
 
-fn write_settings(platform: &TestProcess, engines: &[TestProcess], names: &[String]) -> PathBuf {
+fn write_settings(
+    platform: &TestProcess,
+    engines: &[TestProcess],
+    names: &[String],
+    change: impl FnOnce(&mut Value),
+) -> PathBuf {
     let addresses: Vec<_> = engines.iter().map(|e| e.address.to_string()).collect();
     let centre = |index: usize| {
         if index.is_multiple_of(2) {
@@ -278,7 +321,7 @@
         .enumerate()
         .map(|(index, name)| json!({"name": name, "data_centre": centre(index)}))
         .collect();
-    let settings = json!({
+    let mut settings = json!({
         "fleet": "test",
         "data_centres": ["dc-a", "dc-b"],
         "platform": {"address": platform.address.to_string()},
@@ -293,6 +336,7 @@
         }],
         "tiers": [{"name": "shading", "upstreams": "sketch-llm", "batch": true}],
     });
+    change(&mut settings);
     let file = format!("settings-{}.jsonc", platform.address.port());
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
     std::fs::write(&path, settings.to_string()).expect("settings can be written");
