--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::call_meter::CallMeter;
+use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
 use crate::gossip::MemberGossip;
@@ -42,6 +44,10 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// The callers' keys.
+    pub callers: CallerKeys,
+    /// Calls in progress.
+    pub calls: CallMeter,
     /// The other instances.
     pub members: MemberTable,
     /// What the other instances said of themselves.
@@ -66,6 +72,8 @@
         let upstreams = UpstreamTable::new(&config.fleet);
         Self {
             items: ItemReader::new(log.clone()),
+            callers: CallerKeys::new(&config.fleet.teams),
+            calls: CallMeter::default(),
             members: MemberTable::default(),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod commit;
 pub mod config_state;
 pub mod cursor;
+pub mod file_table;
 pub mod hashing;
 pub mod lease;
 pub mod ledger;
