--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -41,6 +41,7 @@
 pub fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
     context.state.lose_before(reply.oldest);
     context.relay.note_read(reply);
+    context.state.note_log_time(reply.now_ms);
     reply
         .entries
         .iter()
--- a/crates/entry/src/operator_command.rs
+++ b/crates/entry/src/operator_command.rs
@@ -140,7 +140,7 @@
     };
     let offset = match context.committer.submit(records, DECIDE_LIMIT).await {
         Ok(offset) => offset,
-        Err(CommitError::NotAppended) => return Err(CommitError::NotAppended.into()),
+        Err(e @ (CommitError::NotAppended | CommitError::TooLarge)) => return Err(e.into()),
         Err(CommitError::Unknown) => {
             let reason = "the log has not confirmed this yet";
             return Ok(unknown_outcome(context, command.clone(), reason));
--- a/crates/entry/src/operator_query.rs
+++ b/crates/entry/src/operator_query.rs
@@ -18,7 +18,6 @@
 use serde_json::{Value, json};
 use volo_http::response::Response;
 
-use crate::batch_view;
 use crate::context::{InstanceContext, Result};
 use crate::operator_access::identify;
 use crate::operator_peers::{PeerAnswers, PeerQuestion, SilentInstance, ask_all, own_rows};
@@ -174,7 +173,9 @@
 
 fn explain_batch(context: &InstanceContext, id: &str) -> Option<Value> {
     let job: JobId = id.parse().ok()?;
-    batch_view::view(context, &job).ok()
+    let shard = context.state.shard_for(&job);
+    let report = shard.get(&job)?.report(&job);
+    serde_json::to_value(report).ok()
 }
 
 fn explain_command(context: &InstanceContext, id: &str, found: &mut Value) {
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -7,8 +7,11 @@
 use amaranth_kernel::change_state::{ChangeSnapshot, ChangeState};
 use amaranth_kernel::config_state::ConfigState;
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
+use amaranth_kernel::file_table::FileTable;
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
+use amaranth_kernel::log_clock::LogClock;
+use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{BatchEntry, LogRecord};
 use tokio::sync::watch;
@@ -39,10 +42,12 @@
     writer: WriterId,
     cursor: Mutex<FoldCursor>,
     jobs: Vec<Mutex<JobLedger>>,
+    files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
     changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
+    clock: Mutex<LogClock>,
 }
 
 impl SharedState {
@@ -52,11 +57,16 @@
         Self {
             writer,
             cursor: Mutex::new(FoldCursor::default()),
-            jobs: shards.map(|_| Mutex::new(JobLedger::default())).collect(),
+            jobs: shards
+                .clone()
+                .map(|_| Mutex::new(JobLedger::default()))
+                .collect(),
+            files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
             changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
+            clock: Mutex::new(LogClock::default()),
         }
     }
 
@@ -108,6 +118,17 @@
         self.own.subscribe()
     }
 
+    /// Takes the log's clock from an answer that just arrived.
+    pub fn note_log_time(&self, log_ms: u64) {
+        let mut clock = self.clock.lock().expect("not poisoned");
+        clock.observe(log_ms, steady_ms());
+    }
+
+    /// The earliest that the log's clock can show now, Unix milliseconds.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        self.clock.lock().expect("not poisoned").now(steady_ms())
+    }
+
     /// The configuration revision in force here.
     pub fn revision(&self) -> ConfigRevision {
         self.config().revision()
@@ -158,6 +179,12 @@
         self.shard(shard_of(job))
     }
 
+    /// The stored files of the shard that a job falls into.
+    pub fn files_for(&self, job: &JobId) -> MutexGuard<'_, FileTable> {
+        let index = (shard_of(job).0 % SHARD_COUNT) as usize;
+        self.files[index].lock().expect("not poisoned")
+    }
+
     fn apply(&self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
         match record {
             LogRecord::JobItems { job, .. }
@@ -166,6 +193,9 @@
             | LogRecord::JobCancelled { job, .. } => {
                 self.shard_for(job).apply(offset, time_ms, record);
             }
+            LogRecord::FileStored { job, .. } => {
+                self.files_for(job).apply(offset, time_ms, record);
+            }
             LogRecord::LeaseClaimed { .. }
             | LogRecord::LeasesRenewed { .. }
             | LogRecord::LeasesReleased { .. } => {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,13 +3,16 @@
 
 pub mod bitmap;
 pub mod change_state;
+pub mod commit;
 pub mod config_state;
 pub mod cursor;
 pub mod decision_log;
+pub mod file_table;
 pub mod hashing;
 pub mod language;
 pub mod lease;
 pub mod ledger;
+pub mod log_clock;
 pub mod log_source;
 pub mod membership;
 pub mod plan_state;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod fleet;
 pub mod operator;
 pub mod reader;
+pub mod team;
 pub mod tier;
 pub mod upstream;
