Guard plans against orders that land late

Cause: a plan could count an engine as restored while an order of an earlier driver was still under way, and engines that ignore fencing numbers took it. Change: before an engine counts as changed or restored no earlier order may be able to land: by the fencing number seen, or by waiting out lease, margin and order timeout, and unanswered orders of the driver itself; engines without fencing are watched after the end and repaired. The driver is split by job. Ruled out: repairing only after the end; then an ended plan was untrue for a while (what_has_ended_holds).

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,8 @@
 pub mod owner;
 pub mod plan_driver;
 pub mod plan_health;
+pub mod plan_lookup;
+pub mod plan_memory;
 pub mod plan_watch;
 pub mod process;
 pub mod relay;
--- a/crates/entry/src/operator_rows.rs
+++ b/crates/entry/src/operator_rows.rs
@@ -209,7 +209,7 @@
                 StepPhase::Waiting => "waiting",
                 StepPhase::Started { .. } => "started",
                 StepPhase::Finished { .. } => "finished",
-                StepPhase::Restored => "restored",
+                StepPhase::Restored { .. } => "restored",
             };
             row(json!({"plan": command, "upstream": upstream, "state": state}))
         })
--- a/crates/entry/src/plan_driver.rs
+++ b/crates/entry/src/plan_driver.rs
@@ -6,28 +6,30 @@
 //! driver waits until no order of an earlier one can still land.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use amaranth_kernel::hashing::rendezvous_order;
 use amaranth_kernel::lease::LEASE_TTL_MS;
 use amaranth_kernel::plan_state::PlanState;
-use amaranth_kernel::rollout::{EngineSight, PlanAction, RolloutLimits, next_actions};
-use amaranth_net::clock::{steady_ms, unix_ms};
+use amaranth_kernel::rollout::{EngineSight, OrderGuard, PlanAction, next_actions, repairs};
+use amaranth_net::clock::steady_ms;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::change::{PlanSpec, PlanStep};
-use amaranth_wire::engine::{EngineOrder, EngineStatus, OrderAction};
+use amaranth_wire::change::PlanStep;
+use amaranth_wire::engine::{EngineOrder, OrderAction};
 use amaranth_wire::id::{CommandId, LeaseEpoch, ShardId, UpstreamId};
-use amaranth_wire::record::LogRecord;
+use amaranth_wire::record::{LeaseName, LogRecord};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
 use crate::lease_keeper::LeaseKeeper;
 use crate::order_client::{ORDER_LIMIT, OrderClient, OrderOutcome};
-use crate::plan_health::HealthWatch;
+use crate::plan_lookup::{
+    checks_fencing, driven_plans, engine_address, is_carry_due, is_rollout, may_claim,
+    rollout_limits, watched_plans,
+};
+use crate::plan_memory::PlanMemory;
 
 /// The lease of the driver; batch shards end far below.
 pub const PLAN_SHARD: ShardId = ShardId(1_000);
@@ -40,26 +42,6 @@
 /// Allowance for clocks and scheduling when an earlier driver's orders are waited out, in
 /// milliseconds.
 const FENCE_MARGIN_MS: u64 = 1_500;
-/// How long an upstream is out of service before it is ordered, so that every instance has read
-/// it, in milliseconds.
-const SETTLE_MS: u64 = 500;
-const DEFAULT_LOAD_WIDTH: u64 = 2;
-const DEFAULT_KEEP_PERCENT: u64 = 75;
-const DEFAULT_SOAK_MS: u64 = 2_000;
-
-/// What the driver remembers of one plan, for as long as it holds the lease.
-#[derive(Debug, Default)]
-struct PlanMemory {
-    /// Orders by upstream since the plan last changed its direction.
-    orders: HashMap<UpstreamId, u32>,
-    /// Numbers of the next orders; never used twice.
-    order_numbers: HashMap<UpstreamId, u32>,
-    started_ms: HashMap<UpstreamId, u64>,
-    silent_since_ms: HashMap<UpstreamId, u64>,
-    /// When an engine was last seen to be done, on the steady clock.
-    finished_ms: Option<u64>,
-    health: HealthWatch,
-}
 
 /// Drives plans while this instance holds the lease.
 struct PlanDriver {
@@ -69,6 +51,8 @@
     needed: Arc<AtomicBool>,
     epoch: Option<LeaseEpoch>,
     held_since_ms: u64,
+    /// Until when an unanswered order of this driver can land, by upstream.
+    open_until_ms: HashMap<UpstreamId, u64>,
     memory: HashMap<CommandId, PlanMemory>,
 }
 
@@ -80,6 +64,7 @@
         needed: Arc::default(),
         epoch: None,
         held_since_ms: 0,
+        open_until_ms: HashMap::new(),
         memory: HashMap::new(),
     };
     let renewal = renew(
@@ -114,10 +99,11 @@
     async fn look(&mut self, context: &Arc<InstanceContext>) {
         let carry_due = is_carry_due(context);
         let plans = driven_plans(context);
-        let needed = !plans.is_empty() || carry_due;
+        let ended = watched_plans(context);
+        let needed = !plans.is_empty() || !ended.is_empty() || carry_due;
         self.needed.store(needed, Ordering::Release);
         if !needed {
-            return;
+            return self.give_back(context).await;
         }
         let Some(epoch) = self.hold_lease(context).await else {
             return;
@@ -125,13 +111,26 @@
         if carry_due {
             carry(context).await;
         }
-        self.memory
-            .retain(|id, _| plans.iter().any(|(plan, _)| plan == id));
+        let known = |id: &CommandId| plans.iter().chain(&ended).any(|(plan, _)| plan == id);
+        self.memory.retain(|id, _| known(id));
+        for (id, plan) in ended {
+            self.repair(context, epoch, &id, &plan).await;
+        }
         for (id, plan) in plans {
             self.drive(context, epoch, &id, &plan).await;
         }
     }
 
+    /// Ends the lease when there is nothing to drive.
+    async fn give_back(&mut self, context: &InstanceContext) {
+        if let Some(epoch) = self.keeper.current(PLAN_SHARD) {
+            let shard = PLAN_SHARD;
+            self.keeper
+                .release(context, LeaseName { shard, epoch })
+                .await;
+        }
+    }
+
     /// The epoch under which this instance drives, claiming the lease if it should have it.
     async fn hold_lease(&mut self, context: &Arc<InstanceContext>) -> Option<LeaseEpoch> {
         let held = self.keeper.current(PLAN_SHARD);
@@ -143,6 +142,7 @@
         if held != self.epoch {
             self.epoch = held;
             self.held_since_ms = steady_ms();
+            self.open_until_ms.clear();
             self.memory.clear();
         }
         held
@@ -161,7 +161,7 @@
         limits.soaking = is_rollout(plan) && memory.is_soaking(context, plan);
         let worsened = memory.health.judge(context, plan).await;
         let actions = next_actions(plan, epoch, &sights, limits, worsened);
-        let (orders, steps) = self.sort_actions(context, id, actions);
+        let (orders, steps) = self.sort_actions(id, actions);
         self.write_steps(context, epoch, id, steps).await;
         for (upstream, action) in orders {
             if self.keeper.current(PLAN_SHARD) != Some(epoch) {
@@ -171,6 +171,32 @@
         }
     }
 
+    /// Brings engines back to where an ended plan left them.
+    async fn repair(
+        &mut self,
+        context: &Arc<InstanceContext>,
+        epoch: LeaseEpoch,
+        id: &CommandId,
+        plan: &PlanState,
+    ) {
+        let sights = self.read_engines(context, id, plan).await;
+        let actions = {
+            let changes = context.state.changes();
+            let plans = &changes.core().plans;
+            repairs(plan, &sights, |upstream| {
+                plans.is_superseded(plan, upstream)
+            })
+        };
+        let (orders, _) = self.sort_actions(id, actions);
+        for (upstream, action) in orders {
+            log::warn!("event=engine_repaired plan={id} upstream={upstream}");
+            metrics::counter!("amaranth_engine_repairs_total").increment(1);
+            if self.keeper.current(PLAN_SHARD) == Some(epoch) {
+                self.send_order(context, epoch, id, upstream, action).await;
+            }
+        }
+    }
+
     /// Reads the state of every engine of a plan, all at once.
     async fn read_engines(
         &mut self,
@@ -191,21 +217,49 @@
                 (upstream, status)
             });
         }
-        let memory = self.memory.entry(id.clone()).or_default();
         let mut sights = BTreeMap::new();
         while let Some(read) = reads.join_next().await {
             if let Ok((upstream, status)) = read {
-                let sight = memory.note(&upstream, status);
+                let memory = self.memory.entry(id.clone()).or_default();
+                let mut sight = memory.note(&upstream, status);
+                sight.guard = self.guard(context, &upstream, &sight);
                 sights.insert(upstream, sight);
             }
         }
         sights
     }
 
+    /// Whether an earlier order can still land on an engine: one of an earlier driver, or one of
+    /// this driver that was never answered.
+    fn guard(
+        &self,
+        context: &InstanceContext,
+        upstream: &UpstreamId,
+        sight: &EngineSight,
+    ) -> OrderGuard {
+        let now_ms = steady_ms();
+        let open_until_ms = self.open_until_ms.get(upstream).copied().unwrap_or(0);
+        if now_ms < open_until_ms {
+            return OrderGuard::Wait;
+        }
+        if checks_fencing(context, upstream) {
+            let seen = sight.status.as_ref().map(|status| status.fence);
+            return match seen < self.epoch {
+                true => OrderGuard::Raise,
+                false => OrderGuard::Closed,
+            };
+        }
+        let order_ms = ORDER_LIMIT.as_millis() as u64;
+        let waited_ms = LEASE_TTL_MS + FENCE_MARGIN_MS + order_ms;
+        match now_ms < self.held_since_ms + waited_ms {
+            true => OrderGuard::Wait,
+            false => OrderGuard::Closed,
+        }
+    }
+
     /// Splits actions into orders that may be sent now and steps to write.
     fn sort_actions(
         &mut self,
-        context: &InstanceContext,
         id: &CommandId,
         actions: Vec<PlanAction>,
     ) -> (Vec<(UpstreamId, OrderAction)>, Vec<PlanStep>) {
@@ -215,9 +269,7 @@
         for action in actions {
             let step = match action {
                 PlanAction::Order { upstream, action } => {
-                    if is_past_orders_over(context, &upstream, self.held_since_ms)
-                        && memory.is_settled(&upstream)
-                    {
+                    if memory.is_settled(&upstream) {
                         orders.push((upstream, action));
                     }
                     continue;
@@ -302,6 +354,12 @@
             "event=engine_ordered plan={id} upstream={upstream} order={} outcome={outcome:?}",
             order.id
         );
+        if outcome == OrderOutcome::Unknown {
+            let open_ms = ORDER_LIMIT.as_millis() as u64 + FENCE_MARGIN_MS;
+            self.open_until_ms
+                .insert(upstream.clone(), steady_ms() + open_ms);
+        }
+        let memory = self.memory.entry(id.clone()).or_default();
         match outcome {
             OrderOutcome::Taken | OrderOutcome::Unknown => {
                 *memory.orders.entry(upstream.clone()).or_default() += 1;
@@ -312,114 +370,6 @@
     }
 }
 
-impl PlanMemory {
-    fn note(&mut self, upstream: &UpstreamId, status: Option<EngineStatus>) -> EngineSight {
-        let now_ms = steady_ms();
-        let unreachable_ms = match &status {
-            Some(_) => {
-                self.silent_since_ms.remove(upstream);
-                0
-            }
-            None => {
-                let since = self.silent_since_ms.entry(upstream.clone());
-                now_ms - *since.or_insert(now_ms)
-            }
-        };
-        EngineSight {
-            status,
-            unreachable_ms,
-            orders: self.orders.get(upstream).copied().unwrap_or(0),
-        }
-    }
-
-    /// Whether the engines that were changed last are still being judged. A new driver judges
-    /// those that it finds changed.
-    fn is_soaking(&mut self, context: &InstanceContext, plan: &PlanState) -> bool {
-        if plan.finished() == 0 {
-            return false;
-        }
-        let finished_ms = *self.finished_ms.get_or_insert_with(steady_ms);
-        let soak_ms = context.state.config().number("plan.soak_ms");
-        steady_ms() < finished_ms + soak_ms.unwrap_or(DEFAULT_SOAK_MS)
-    }
-
-    /// Whether the upstream has been out of service long enough for every instance to know.
-    fn is_settled(&self, upstream: &UpstreamId) -> bool {
-        let started_ms = self.started_ms.get(upstream).copied().unwrap_or(0);
-        steady_ms() >= started_ms + SETTLE_MS
-    }
-
-    /// The id of the next order. One that was not taken is sent again under the same id; one
-    /// that may have been taken is followed only after the engine's state was read back.
-    fn order_id(&self, epoch: LeaseEpoch, plan: &CommandId, upstream: &UpstreamId) -> String {
-        let number = self.order_numbers.get(upstream).copied().unwrap_or(0);
-        format!("{plan}:{upstream}:{epoch}:{number}")
-    }
-}
-
-/// Plans that need steps, oldest first.
-fn driven_plans(context: &InstanceContext) -> Vec<(CommandId, PlanState)> {
-    let changes = context.state.changes();
-    let plans = changes.core().plans.lasting();
-    let driven = plans.filter(|(_, plan)| !plan.spec.is_drain());
-    let mut driven: Vec<_> = driven.map(|(id, p)| (id.clone(), p.clone())).collect();
-    driven.sort_by_key(|(_, plan)| plan.offset);
-    driven
-}
-
-/// Whether this instance should take the lease now.
-fn may_claim(context: &InstanceContext) -> bool {
-    let leases = context.state.leases();
-    let lease = leases.get(PLAN_SHARD);
-    if lease.is_some_and(|lease| !lease.is_claimable(unix_ms())) || !context.is_ready() {
-        return false;
-    }
-    drop(leases);
-    let live = context.members.live();
-    let known = live.iter().filter(|name| !context.gossip.is_lost(name));
-    let known: Vec<_> = known.cloned().collect();
-    let key = PLAN_SHARD.0.to_be_bytes();
-    let order = rendezvous_order(&key, &known, |instance| instance.as_str());
-    order.first() == Some(&&context.config.instance)
-}
-
-/// Whether no order of an earlier driver can still land on an upstream.
-fn is_past_orders_over(
-    context: &InstanceContext,
-    upstream: &UpstreamId,
-    held_since_ms: u64,
-) -> bool {
-    let groups = context.config.fleet.upstreams.iter();
-    let mut groups = groups.filter(|group| group.checks_fencing);
-    if groups.any(|group| group.upstreams().iter().any(|u| u.upstream == *upstream)) {
-        return true;
-    }
-    let order_ms = ORDER_LIMIT.as_millis() as u64;
-    steady_ms() >= held_since_ms + LEASE_TTL_MS + FENCE_MARGIN_MS + order_ms
-}
-
-fn engine_address(context: &InstanceContext, upstream: &UpstreamId) -> Option<SocketAddr> {
-    let all = context.upstreams.all().into_iter();
-    let mut found = all.filter(|(_, name, _, _)| name == upstream);
-    found.next().map(|(_, _, address, _)| address)
-}
-
-fn rollout_limits(context: &InstanceContext) -> RolloutLimits {
-    let config = context.state.config();
-    let number = |name: &str, default: u64| config.number(name).unwrap_or(default) as usize;
-    RolloutLimits {
-        width: number("plan.load_width", DEFAULT_LOAD_WIDTH),
-        keep_percent: number("plan.keep_percent", DEFAULT_KEEP_PERCENT),
-        soaking: false,
-    }
-}
-
-fn is_carry_due(context: &InstanceContext) -> bool {
-    let retention_ms = context.config.fleet.platform.retention.as_millis();
-    let changes = context.state.changes();
-    changes.is_carry_due(unix_ms(), retention_ms)
-}
-
 /// Writes a snapshot of configuration and plans, a part at a time.
 async fn carry(context: &InstanceContext) {
     let records = context.state.changes().snapshot_records();
@@ -433,8 +383,3 @@
     }
     log::info!("event=changes_carried parts={parts}");
 }
-
-/// Whether a plan moves engines to another version, which may do harm.
-pub fn is_rollout(plan: &PlanState) -> bool {
-    matches!(plan.spec, PlanSpec::RollModel { .. })
-}
--- a/crates/entry/src/plan_health.rs
+++ b/crates/entry/src/plan_health.rs
@@ -9,7 +9,7 @@
 
 use crate::context::InstanceContext;
 use crate::operator_peers::{PeerQuestion, PeerRows, ask_all};
-use crate::plan_driver::is_rollout;
+use crate::plan_lookup::is_rollout;
 
 /// Time between two looks at the requests, in milliseconds.
 const JUDGE_PERIOD_MS: u64 = 1_000;
@@ -76,7 +76,7 @@
             match phase {
                 StepPhase::Waiting => self.old = self.old.plus(grown),
                 StepPhase::Finished { .. } => self.new = self.new.plus(grown),
-                StepPhase::Started { .. } | StepPhase::Restored => {}
+                StepPhase::Started { .. } | StepPhase::Restored { .. } => {}
             }
         }
     }
--- a/crates/kernel/src/change_state.rs
+++ b/crates/kernel/src/change_state.rs
@@ -247,7 +247,7 @@
 impl ChangeCore {
     fn apply(&mut self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
         if let LogRecord::PlanStepped { plan, epoch, step } = record {
-            self.plans.step(offset, plan, *epoch, step);
+            self.plans.step((offset, time_ms), plan, *epoch, step);
             return;
         }
         let Some((command, author)) = command_of(record) else {
--- a/crates/kernel/src/plan_state.rs
+++ b/crates/kernel/src/plan_state.rs
@@ -61,7 +61,10 @@
         before: EngineTarget,
     },
     /// Back in its former state.
-    Restored,
+    Restored {
+        /// What it served before.
+        before: EngineTarget,
+    },
 }
 
 /// One plan.
@@ -81,6 +84,8 @@
     pub epoch: LeaseEpoch,
     /// Where its last change stands.
     pub changed: LogOffset,
+    /// When its last change was taken by the log, Unix milliseconds.
+    pub changed_ms: u64,
     /// How far each of its upstreams is.
     pub steps: BTreeMap<UpstreamId, StepPhase>,
 }
@@ -97,6 +102,7 @@
             reason: None,
             epoch: LeaseEpoch(0),
             changed: offset,
+            changed_ms: 0,
         }
     }
 
@@ -109,7 +115,7 @@
             Some(StepPhase::Started { .. }) => true,
             Some(StepPhase::Waiting) => self.spec.is_drain(),
             Some(StepPhase::Finished { .. }) => self.phase == PlanPhase::Undoing,
-            Some(StepPhase::Restored) | None => false,
+            Some(StepPhase::Restored { .. }) | None => false,
         }
     }
 
@@ -167,7 +173,14 @@
                         StepPhase::Started { .. } | StepPhase::Finished { .. }
                     )
                 };
-                let next = |_: &StepPhase| StepPhase::Restored;
+                let next = |phase: &StepPhase| match phase {
+                    StepPhase::Started { before } | StepPhase::Finished { before } => {
+                        StepPhase::Restored {
+                            before: before.clone(),
+                        }
+                    }
+                    other => other.clone(),
+                };
                 self.phase == PlanPhase::Undoing && self.advance(upstream, fits, next)
             }
             PlanStep::Halted { reason } => {
@@ -182,8 +195,9 @@
                 self.end(PlanPhase::Running, all, PlanPhase::Committed)
             }
             PlanStep::Reverted => {
-                let untouched =
-                    |phase: &StepPhase| matches!(phase, StepPhase::Waiting | StepPhase::Restored);
+                let untouched = |phase: &StepPhase| {
+                    matches!(phase, StepPhase::Waiting | StepPhase::Restored { .. })
+                };
                 let all = self.steps.values().all(untouched);
                 self.end(PlanPhase::Undoing, all, PlanPhase::Reverted)
             }
@@ -303,7 +317,7 @@
     /// Makes a step of a plan. False when the step is ignored.
     pub fn step(
         &mut self,
-        offset: LogOffset,
+        (offset, time_ms): (LogOffset, u64),
         plan: &CommandId,
         epoch: LeaseEpoch,
         step: &PlanStep,
@@ -314,6 +328,7 @@
         let made = state.step(epoch, step);
         if made {
             state.changed = offset;
+            state.changed_ms = time_ms;
         }
         made
     }
@@ -328,6 +343,25 @@
         self.plans.iter()
     }
 
+    /// Plans that ended not long before a time of the log's clock, newest first, each with the
+    /// upstreams that no later plan touches.
+    pub fn just_ended(&self, now_ms: u64, window_ms: u64) -> Vec<(&CommandId, &PlanState)> {
+        let mut ended: Vec<_> = self
+            .plans
+            .iter()
+            .filter(|(_, plan)| plan.phase.is_ended() && !plan.spec.is_drain())
+            .filter(|(_, plan)| now_ms < plan.changed_ms + window_ms)
+            .collect();
+        ended.sort_by_key(|(_, plan)| std::cmp::Reverse(plan.changed));
+        ended
+    }
+
+    /// Whether a plan that was accepted later touches this upstream.
+    pub fn is_superseded(&self, plan: &PlanState, upstream: &UpstreamId) -> bool {
+        let mut later = self.plans.values().filter(|p| p.offset > plan.offset);
+        later.any(|p| p.steps.contains_key(upstream) && !p.spec.is_drain())
+    }
+
     /// The plans that have not ended.
     pub fn lasting(&self) -> impl Iterator<Item = (&CommandId, &PlanState)> {
         self.plans.iter().filter(|(_, plan)| !plan.phase.is_ended())
--- a/crates/kernel/src/rollout.rs
+++ b/crates/kernel/src/rollout.rs
@@ -14,6 +14,18 @@
 /// How long an engine that is being changed may be out of reach before the plan goes back.
 const UNREACHABLE_LIMIT_MS: u64 = 30_000;
 
+/// Whether an order that was sent earlier can still land on an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum OrderGuard {
+    /// None can: the engine refuses earlier epochs, or they were waited out.
+    #[default]
+    Closed,
+    /// Earlier epochs can until the engine has seen this one, by any order.
+    Raise,
+    /// They can for a while yet.
+    Wait,
+}
+
 /// What the driver knows of one engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineSight {
@@ -23,6 +35,8 @@
     pub unreachable_ms: u64,
     /// Orders of this plan phase that it was given by this driver.
     pub orders: u32,
+    /// Whether an earlier order can still land.
+    pub guard: OrderGuard,
 }
 
 /// How many engines may change at once.
@@ -133,7 +147,8 @@
             continue;
         };
         let sight = sights.get(upstream);
-        settled &= sight.is_some_and(|sight| is_settled(sight, &wanted));
+        let closed = |sight: &EngineSight| sight.guard == OrderGuard::Closed;
+        settled &= sight.is_some_and(|sight| is_settled(sight, &wanted) && closed(sight));
         let done = PlanAction::Finish(upstream.clone());
         let next = toward(upstream, &wanted, sight, done);
         actions.extend(next.filter(|action| matches!(action, PlanAction::Order { .. })));
@@ -173,12 +188,19 @@
 ) -> Option<PlanAction> {
     let sight = sight?;
     let status = sight.status.as_ref()?;
-    if is_settled(sight, wanted) {
-        return Some(there);
-    }
-    if status.busy {
+    if status.busy || sight.guard == OrderGuard::Wait {
         return None;
     }
+    if is_settled(sight, wanted) {
+        let leaving = status.leaving;
+        return Some(match sight.guard {
+            OrderGuard::Raise => PlanAction::Order {
+                upstream: upstream.clone(),
+                action: OrderAction::SetLeaving { leaving },
+            },
+            _ => there,
+        });
+    }
     let action = match &wanted.model {
         Some(model) if status.model != wanted.model || status.version != wanted.version => {
             OrderAction::LoadModel {
@@ -194,6 +216,30 @@
     })
 }
 
+/// Orders that bring engines back to where an ended plan left them, after a late order of an
+/// earlier driver landed. `superseded` tells whether a later plan has an upstream.
+pub fn repairs(
+    plan: &PlanState,
+    sights: &BTreeMap<UpstreamId, EngineSight>,
+    superseded: impl Fn(&UpstreamId) -> bool,
+) -> Vec<PlanAction> {
+    let mut actions = Vec::new();
+    for (upstream, phase) in &plan.steps {
+        let kept = match phase {
+            StepPhase::Finished { .. } => wanted(plan, upstream),
+            StepPhase::Restored { before } => Some(before.clone()),
+            StepPhase::Waiting | StepPhase::Started { .. } => None,
+        };
+        let Some(kept) = kept.filter(|_| !superseded(upstream)) else {
+            continue;
+        };
+        let done = PlanAction::Finish(upstream.clone());
+        let next = toward(upstream, &kept, sights.get(upstream), done);
+        actions.extend(next.filter(|action| matches!(action, PlanAction::Order { .. })));
+    }
+    actions
+}
+
 fn is_settled(sight: &EngineSight, wanted: &EngineTarget) -> bool {
     sight.status.as_ref().is_some_and(|status| {
         !status.busy
@@ -267,7 +313,7 @@
 fn before(phase: &StepPhase) -> Option<&EngineTarget> {
     match phase {
         StepPhase::Started { before } | StepPhase::Finished { before } => Some(before),
-        StepPhase::Waiting | StepPhase::Restored => None,
+        StepPhase::Waiting | StepPhase::Restored { .. } => None,
     }
 }
 
--- a/crates/kernel/tests/changes.rs
+++ b/crates/kernel/tests/changes.rs
@@ -142,7 +142,8 @@
     for (id, plan) in core.plans.all() {
         let steps: Vec<_> = plan.steps.values().collect();
         let finished = |step: &&StepPhase| matches!(step, StepPhase::Finished { .. });
-        let former = |step: &&StepPhase| matches!(step, StepPhase::Waiting | StepPhase::Restored);
+        let former =
+            |step: &&StepPhase| matches!(step, StepPhase::Waiting | StepPhase::Restored { .. });
         match plan.phase {
             PlanPhase::Committed => prop_assert!(steps.iter().all(finished), "{id} half done"),
             PlanPhase::Reverted => prop_assert!(steps.iter().all(former), "{id} half undone"),
--- a/tests/changes_plans.rs
+++ b/tests/changes_plans.rs
@@ -185,6 +185,7 @@
     }
     let reason = plan["reason"].to_string();
     assert!(reason.contains("at the new version"), "{reason}");
+    set_engine_faults(&fleet, broken, json!({})).await;
     check_versions(&fleet, "1").await;
 }
 
@@ -311,3 +312,68 @@
     })
     .await;
 }
+
+/// Starts a fleet whose engines ignore fencing numbers, as its settings say.
+async fn start_unfenced() -> TestFleet {
+    let engine_args = [
+        "--step",
+        "2ms",
+        "--order-time",
+        "300ms",
+        "--fencing",
+        "ignored",
+    ];
+    let mut fleet = TestFleet::start_with(2, 3, &engine_args, &[]).await;
+    for name in ["entry-1", "entry-2", "entry-3"] {
+        fleet.kill(name);
+        fleet.start_entry_with(name, |settings| {
+            settings["upstreams"][0]["checks_fencing"] = json!(false);
+        });
+        fleet.wait_ready(name).await;
+    }
+    fleet
+}
+
+#[tokio::test]
+async fn engines_without_fencing_are_repaired_after_a_paused_driver() {
+    let fleet = start_unfenced().await;
+    roll(&fleet, "entry-1", "roll-1").await;
+    let driver = find_driver(&fleet).await;
+    let other = other_than(&fleet, &driver);
+    wait_until("an engine is being changed", async || {
+        started(&plan_state(&fleet, &other, "roll-1").await) > 0
+    })
+    .await;
+    let first = plan_state(&fleet, &other, "roll-1").await["driver_epoch"].clone();
+    fleet.entries[&driver].signal("STOP");
+    wait_until("a successor has taken over", async || {
+        plan_state(&fleet, &other, "roll-1").await["driver_epoch"] != first
+    })
+    .await;
+    wait_plan(&fleet, &other, "roll-1", "committed").await;
+    check_versions(&fleet, "2").await;
+    fleet.entries[&driver].signal("CONT");
+
+    // An order that the paused driver had on its way lands only now.
+    let late = json!({
+        "id": "roll-1:late",
+        "fence": first,
+        "action": {"load_model": {"model": "sketch-llm", "version": "1"}},
+    });
+    let call =
+        HttpCall::post(fleet.engines[0].address, "/engine/orders").with_body(late.to_string());
+    let (status, _) = fleet.client.fetch(call, LIMITS).await.expect("an answer");
+    assert!(status < 300, "the engine takes it: {status}");
+    wait_until("the late order has landed", async || {
+        engine_status(&fleet, 0).await["version"] == "1"
+    })
+    .await;
+    wait_until("the engine is repaired", async || {
+        engine_status(&fleet, 0).await["version"] == "2"
+    })
+    .await;
+    assert_eq!(
+        plan_state(&fleet, &driver, "roll-1").await["state"],
+        "committed"
+    );
+}
