--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -18,7 +18,9 @@
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
+use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
+use crate::operator_peers::PeerSights;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -50,6 +52,10 @@
     pub calls: CallMeter,
     /// The other instances.
     pub members: MemberTable,
+    /// When the other instances were last heard.
+    pub sights: PeerSights,
+    /// Recent entries of the log, for peers that cannot read it.
+    pub relay: LogRelay,
     /// What the other instances said of themselves.
     pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
@@ -75,6 +81,8 @@
             callers: CallerKeys::new(&config.fleet.teams),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            sights: PeerSights::default(),
+            relay: LogRelay::default(),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
@@ -101,7 +109,13 @@
 
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.is_drained()
+    }
+
+    /// Whether an operator drains this instance.
+    pub fn is_drained(&self) -> bool {
+        let changes = self.state.changes();
+        changes.core().plans.drains_instance(&self.config.instance)
     }
 
     /// Whether the balancer may send new work here.
