Decide what follows a failed attempt, and put streams together

Cause: a stream that breaks is passed on as broken, and nothing decides when an attempt may follow another. Change: kernel::retry decides between resume, retry, giving up and abandoning; kernel::stream_assembly compares an answer generated again with what the caller has and accepts a continuation only behind what was compared. Ruled out: resuming always behind the last token that the caller has. The property test found that after a restart that broke early the tokens in between would go unchecked, and another answer's tokens could follow (fixed seed 4, Restart, Overlap, Foreign).

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod lease;
 pub mod ledger;
 pub mod plugin;
+pub mod retry;
 pub mod routing;
+pub mod stream_assembly;
--- /dev/null
+++ b/crates/kernel/tests/retry.rs
@@ -0,0 +1,97 @@
+//! What follows a failed attempt, over random requests, failures and times.
+
+use amaranth_kernel::retry::{
+    AttemptFailure, MAX_ATTEMPTS, NextStep, RequestProgress, RetryBudget, backoff_ms, next_step,
+};
+use amaranth_wire::error::RanState;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn failure() -> impl Strategy<Value = AttemptFailure> {
+    prop_oneof![
+        Just(AttemptFailure::NotRun),
+        Just(AttemptFailure::Broken),
+        Just(AttemptFailure::StreamUnknown),
+        Just(AttemptFailure::WrongStream),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_request_follows_the_rules_to_its_end(
+        seed in any::<u64>(),
+        repeatable in any::<bool>(),
+        deadline in 1..5_000u64,
+        steps in prop::collection::vec((failure(), any::<bool>(), 1..800u64, 0..20u8), 1..30),
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut budget = RetryBudget::new();
+        let mut progress = RequestProgress::new(repeatable, deadline);
+        let (mut now, mut sent) = (0, 0);
+        for (failure, resumable, took, gone) in steps {
+            progress.attempts += 1;
+            progress.resumable = resumable;
+            let ran = failure != AttemptFailure::NotRun;
+            sent += u32::from(ran);
+            progress.may_have_run |= ran;
+            progress.caller_present = gone > 0;
+            now += took;
+            match next_step(&progress, failure, now, &mut budget, &mut rng) {
+                NextStep::Resume => {
+                    prop_assert!(progress.caller_present && now < deadline && resumable);
+                    progress.attempts -= 1;
+                    progress.fruitless_resumes += 1;
+                    sent -= u32::from(ran);
+                }
+                NextStep::Retry { delay_ms } => {
+                    prop_assert!(progress.caller_present);
+                    prop_assert!(repeatable || sent == 0, "not repeatable work was sent again");
+                    prop_assert!(now + delay_ms < deadline, "an attempt after the deadline");
+                    prop_assert!(progress.attempts < MAX_ATTEMPTS);
+                    now += delay_ms;
+                }
+                NextStep::GiveUp(_, ran) => {
+                    let proved = !progress.may_have_run;
+                    prop_assert_eq!(ran == RanState::No, proved, "the claim about the work");
+                    return Ok(());
+                }
+                NextStep::Abandon => {
+                    prop_assert!(!progress.caller_present);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Whatever fails, retries stay a tenth of the requests beyond what a budget starts with.
+    #[test]
+    fn retries_stay_within_the_budget(arrivals in prop::collection::vec(0..4u32, 1..400)) {
+        let mut budget = RetryBudget::new();
+        let (mut requests, mut retries) = (0, 0);
+        for wanted in arrivals {
+            budget.add_request();
+            requests += 1;
+            retries += (0..wanted).filter(|_| budget.take_retry()).count();
+        }
+        prop_assert!(retries <= 10 + requests / 10);
+    }
+
+    #[test]
+    fn backoff_is_bounded(seed in any::<u64>(), attempts in 0..100u32) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        prop_assert!(backoff_ms(attempts, &mut rng) <= 1_000);
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/stream_assembly.rs
@@ -0,0 +1,173 @@
+//! A streamed answer under breaks, resumes, restarts, lost, doubled and foreign tokens.
+
+use amaranth_kernel::stream_assembly::{AssemblyError, EventStep, StreamAssembly, StreamEvent};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestCaseResult};
+
+/// What happens to one stream before it ends.
+#[derive(Debug, Clone)]
+enum StreamFault {
+    /// It breaks after so many tokens and is resumed.
+    Break(usize),
+    /// It breaks after so many tokens and is generated again.
+    Restart(usize),
+    /// A resumed stream starts some tokens before the last that was received.
+    Overlap(usize),
+    /// A token is left out.
+    Drop(usize),
+    /// The resume gets another answer's stream.
+    Foreign,
+    /// The answer generated again differs from this token on.
+    Diverge(usize),
+    /// The answer generated again ends after so many tokens.
+    Short(usize),
+}
+
+fn fault() -> impl Strategy<Value = StreamFault> {
+    prop_oneof![
+        (0..40usize).prop_map(StreamFault::Break),
+        (0..40usize).prop_map(StreamFault::Restart),
+        (0..6usize).prop_map(StreamFault::Overlap),
+        (0..40usize).prop_map(StreamFault::Drop),
+        Just(StreamFault::Foreign),
+        (0..40usize).prop_map(StreamFault::Diverge),
+        (0..40usize).prop_map(StreamFault::Short),
+    ]
+}
+
+fn token(answer: &str, index: usize) -> String {
+    format!("{answer}.{index}")
+}
+
+/// One attempt's stream: tokens `from..to` of an answer.
+struct Attempt<'a> {
+    assembly: &'a mut StreamAssembly,
+    received: &'a mut Vec<String>,
+    numbered: bool,
+}
+
+impl Attempt<'_> {
+    fn token(&mut self, answer: &str, index: usize, text: &str) -> Result<(), AssemblyError> {
+        let event = StreamEvent::Token {
+            index: self.numbered.then_some(index as u32),
+            answer,
+            content: text,
+        };
+        if self.assembly.accept(event)? == EventStep::Forward {
+            self.received.push(text.to_owned());
+        }
+        Ok(())
+    }
+
+    fn tokens(&mut self, range: std::ops::Range<usize>) -> Result<(), AssemblyError> {
+        range
+            .into_iter()
+            .try_for_each(|index| self.token("a", index, &token("a", index)))
+    }
+}
+
+/// Plays the faults, then lets the last stream end. The result is what the caller received and
+/// whether it was told that the answer is whole.
+fn play(length: usize, numbered: bool, faults: &[StreamFault]) -> (Vec<String>, bool) {
+    let mut assembly = StreamAssembly::new();
+    let mut received = Vec::new();
+    let mut from = 0;
+    for fault in faults {
+        let mut attempt = Attempt {
+            assembly: &mut assembly,
+            received: &mut received,
+            numbered,
+        };
+        let played = match *fault {
+            StreamFault::Break(count) | StreamFault::Restart(count) => {
+                attempt.tokens(from..length.min(from + count))
+            }
+            // Only numbered streams can say that they start earlier.
+            StreamFault::Overlap(count) if numbered => {
+                attempt.tokens(from.saturating_sub(count)..from)
+            }
+            StreamFault::Overlap(_) => Ok(()),
+            StreamFault::Drop(at) if numbered && from + at + 1 < length => attempt
+                .tokens(from..from + at)
+                .and_then(|()| attempt.tokens(from + at + 1..length)),
+            StreamFault::Drop(_) => Ok(()),
+            StreamFault::Foreign if from > 0 => {
+                attempt.token("b", from, &token("b", from)).map(|()| {
+                    panic!("a token of another answer was taken");
+                })
+            }
+            StreamFault::Foreign => Ok(()),
+            StreamFault::Diverge(at) | StreamFault::Short(at) => {
+                attempt.assembly.restart();
+                let count = at.min(length);
+                let played = attempt.tokens(0..count);
+                if count < attempt.assembly.sent() as usize {
+                    let rest = match fault {
+                        StreamFault::Diverge(_) => attempt.token("a", count, "other"),
+                        _ => attempt.assembly.accept(StreamEvent::End).map(|_| ()),
+                    };
+                    assert!(rest.is_err(), "another answer was taken for the same");
+                    return (received, false);
+                }
+                played
+            }
+        };
+        let restart = played.is_err() || matches!(fault, StreamFault::Restart(_));
+        if restart {
+            assembly.restart();
+        }
+        from = assembly.last_received().map_or(0, |last| last as usize + 1);
+    }
+    let mut attempt = Attempt {
+        assembly: &mut assembly,
+        received: &mut received,
+        numbered,
+    };
+    let ended = attempt.tokens(from..length).is_ok()
+        && attempt.assembly.accept(StreamEvent::End) == Ok(EventStep::Finish);
+    (received, ended)
+}
+
+fn check(length: usize, numbered: bool, faults: &[StreamFault]) -> TestCaseResult {
+    let (received, ended) = play(length, numbered, faults);
+    let whole: Vec<_> = (0..length).map(|index| token("a", index)).collect();
+    prop_assert_eq!(&received[..], &whole[..received.len()]);
+    prop_assert!(!ended || received.len() == length);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 10_000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No token is lost, doubled or taken from another answer in 10,000 faulted streams.
+    #[test]
+    fn a_caller_receives_a_true_prefix_and_no_false_end(
+        length in 1..60usize,
+        numbered in any::<bool>(),
+        faults in prop::collection::vec(fault(), 0..6),
+    ) {
+        check(length, numbered, &faults)?;
+    }
+
+    /// Breaks alone never cost the answer.
+    #[test]
+    fn breaks_and_restarts_alone_end_in_a_whole_answer(
+        length in 1..60usize,
+        numbered in any::<bool>(),
+        counts in prop::collection::vec((any::<bool>(), 0..40usize), 0..6),
+    ) {
+        let fault = |(restart, count)| match restart {
+            true => StreamFault::Restart(count),
+            false => StreamFault::Break(count),
+        };
+        let faults: Vec<_> = counts.into_iter().map(fault).collect();
+        let (received, ended) = play(length, numbered, &faults);
+        prop_assert!(ended);
+        prop_assert_eq!(received.len(), length);
+    }
+}
