Run each request in a task that resumes, retries and cancels

Cause: a stream was relayed from one attempt; a dead or silent engine broke it, a caller that left while a token was awaited was noticed late, and a refused connection was reported as a call that may have run: the client library reports it as an error of the request. Change: accept, attempt, relay and settle are a module each, request_run drives them. Limits for head, first token and gap follow from the tier's objectives; a stream is named, resumed once on a new pool generation, else generated again on another upstream and compared; each upstream has a pool of its own. A failure behind the first token is a typed error event. Calls of plain services are served below /v1/services/{tier}/. Ruled out: the connect limit as a proof that nothing was sent (the same error can come from a connection that was made).

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -3,18 +3,25 @@
 use std::sync::Arc;
 
 use amaranth_net::body::{BodyLimits, read_all};
+use amaranth_net::clock::steady_ms;
 use amaranth_net::route::RouteRequest;
 use amaranth_settings::tier::TierSettings;
+use amaranth_settings::upstream::UpstreamKind;
 use amaranth_wire::error::{CallError, ErrorKind};
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
 use volo_http::response::Response;
 
+use crate::batch_intake::{DEADLINE_HEADER, KEY_HEADER};
 use crate::context::{InstanceContext, Result};
-use crate::relay;
+use crate::request_run;
 
 /// Header that names a tier in place of the model's first.
 pub const TIER_HEADER: &str = "amaranth-tier";
+/// Header that says whether the work may be run more than once.
+pub const REPEATABLE_HEADER: &str = "amaranth-repeatable";
 
 /// The parts of a request that decide where it goes.
 #[derive(Debug, Deserialize)]
@@ -27,14 +34,28 @@
 /// An accepted online request.
 #[derive(Debug, Clone)]
 pub struct OnlineRequest {
+    /// Method at the upstream.
+    pub method: Method,
     /// Path and query at the upstream.
     pub path: String,
+    /// Headers for the upstream.
+    pub headers: HeaderMap,
     /// The tier that serves it.
     pub tier: TierSettings,
+    /// What serves it.
+    pub kind: UpstreamKind,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// The body as the caller sent it.
     pub body: Bytes,
+    /// The caller's name for it.
+    pub key: Option<String>,
+    /// Whether it may be run more than once.
+    pub repeatable: bool,
+    /// When it came, by the steady clock.
+    pub arrived_ms: u64,
+    /// When its answer has to be whole, by the steady clock.
+    pub deadline_ms: u64,
 }
 
 /// Limits on the bodies of online requests.
@@ -49,23 +70,112 @@
 /// Handles a completion call of a caller.
 pub async fn completion(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let accepted = accept(&context, request).await?;
-    relay::answer(context, accepted).await
+    let accepted = accept_completion(&context, request).await?;
+    request_run::answer(context, accepted).await
 }
 
-async fn accept(context: &InstanceContext, request: RouteRequest) -> Result<OnlineRequest> {
-    let path = request.path().to_owned();
+/// Handles a call of a plain service.
+pub async fn service(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    context.check_started()?;
+    let accepted = accept_service(&context, request).await?;
+    request_run::answer(context, accepted).await
+}
+
+async fn accept_completion(
+    context: &InstanceContext,
+    request: RouteRequest,
+) -> Result<OnlineRequest> {
     let named_tier = request.header(TIER_HEADER).map(str::to_owned);
+    let options = RequestOptions::read(&request)?;
+    let path = request.path().to_owned();
     let body = read_all(request.into_body(), online_limits(context)).await?;
     let head: RequestHead = serde_json::from_slice(&body)
         .map_err(|e| CallError::new(ErrorKind::InvalidRequest, format!("invalid request: {e}")))?;
     let tier = find_tier(context, named_tier.as_deref(), &head.model)?;
-    Ok(OnlineRequest {
-        path,
-        tier: tier.clone(),
-        stream: head.stream,
-        body,
-    })
+    let mut accepted = options.accept(context, tier, body);
+    accepted.path = path;
+    accepted.stream = head.stream;
+    Ok(accepted)
+}
+
+async fn accept_service(context: &InstanceContext, request: RouteRequest) -> Result<OnlineRequest> {
+    let tier = find_tier(context, Some(request.param(0)), "")?.clone();
+    let options = RequestOptions::read(&request)?;
+    let method = request.method().clone();
+    let path = service_path(request.path());
+    let content_type = request.headers().get(CONTENT_TYPE).cloned();
+    let body = read_all(request.into_body(), online_limits(context)).await?;
+    let mut accepted = options.accept(context, &tier, body);
+    accepted.method = method;
+    accepted.path = path;
+    if let Some(content_type) = content_type {
+        accepted.headers.insert(CONTENT_TYPE, content_type);
+    }
+    Ok(accepted)
+}
+
+/// What follows `/v1/services/{tier}`.
+fn service_path(path: &str) -> String {
+    let rest = path.splitn(5, '/').nth(4).unwrap_or("");
+    format!("/{rest}")
+}
+
+/// What a caller asks for in headers.
+struct RequestOptions {
+    key: Option<String>,
+    repeatable: Option<bool>,
+    deadline_in_ms: Option<u64>,
+    arrived_ms: u64,
+}
+
+impl RequestOptions {
+    fn read(request: &RouteRequest) -> Result<Self> {
+        Ok(Self {
+            key: request.header(KEY_HEADER).map(str::to_owned),
+            repeatable: parse_header(request, REPEATABLE_HEADER, "true or false")?,
+            deadline_in_ms: parse_header(request, DEADLINE_HEADER, "a number of milliseconds")?,
+            arrived_ms: steady_ms(),
+        })
+    }
+
+    fn accept(self, context: &InstanceContext, tier: &TierSettings, body: Bytes) -> OnlineRequest {
+        let group = context.config.fleet.group(&tier.upstreams);
+        let mut headers = HeaderMap::new();
+        let json = HeaderValue::from_static(amaranth_net::answer::JSON);
+        headers.insert(CONTENT_TYPE, json);
+        if let Some(key) = self.key.as_deref().and_then(|key| key.parse().ok()) {
+            headers.insert(HeaderName::from_static(KEY_HEADER), key);
+        }
+        let deadline_in_ms = self.deadline_in_ms.unwrap_or(tier.deadline.as_millis());
+        OnlineRequest {
+            method: Method::POST,
+            path: String::new(),
+            headers,
+            kind: group.map_or(UpstreamKind::Engine, |group| group.kind),
+            stream: false,
+            body,
+            key: self.key,
+            repeatable: self.repeatable.unwrap_or(tier.repeatable),
+            arrived_ms: self.arrived_ms,
+            deadline_ms: self.arrived_ms.saturating_add(deadline_in_ms),
+            tier: tier.clone(),
+        }
+    }
+}
+
+fn parse_header<T: std::str::FromStr>(
+    request: &RouteRequest,
+    name: &str,
+    expected: &str,
+) -> Result<Option<T>> {
+    let Some(text) = request.header(name) else {
+        return Ok(None);
+    };
+    let value = text.parse().map_err(|_| {
+        let message = format!("{name} must be {expected}");
+        CallError::new(ErrorKind::InvalidRequest, message)
+    })?;
+    Ok(Some(value))
 }
 
 /// The tier that a request names, or the first that serves its model.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,8 +2,10 @@
 //! platform.
 
 pub mod accept;
+pub mod attempt;
 pub mod batch_intake;
 pub mod batch_view;
+pub mod caller_port;
 pub mod cli;
 pub mod committer;
 pub mod config;
@@ -18,6 +20,8 @@
 pub mod owner;
 pub mod process;
 pub mod relay;
+pub mod request_run;
 pub mod routes;
+pub mod settle;
 pub mod shared_state;
 pub mod upstream_table;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,94 +1,119 @@
-//! Sends an accepted request to an upstream and relays the answer to the caller.
+//! Relays the events of one upstream's stream to the caller.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::borrow::Cow;
 
-use amaranth_net::answer;
-use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpError};
-use amaranth_wire::error::{CallError, ErrorKind, RanState};
+use amaranth_kernel::retry::AttemptFailure;
+use amaranth_kernel::stream_assembly::{EventStep, StreamAssembly, StreamEvent};
+use amaranth_net::clock::steady_ms;
 use bytes::Bytes;
-use futures_util::stream;
-use http::HeaderMap;
-use http::header::CONTENT_TYPE;
-use http_body::Frame;
-use tokio::sync::mpsc;
-use volo_http::body::Body;
-use volo_http::response::Response;
+use eventsource_stream::Event;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
 
-use crate::accept::OnlineRequest;
-use crate::context::{InstanceContext, Result};
-use crate::upstream_table::InFlightGuard;
+use crate::attempt::EventReader;
+use crate::caller_port::CallerPort;
+use crate::settle::RequestTimes;
 
-/// Pieces of a streamed answer that may wait for a slow caller.
-const STREAM_BUFFER: usize = 64;
-/// Longest wait for the head of an upstream's answer.
-const FIRST_BYTE_LIMIT: Duration = Duration::from_secs(30);
-/// Longest wait between two pieces of an upstream's answer.
-const GAP_LIMIT: Duration = Duration::from_secs(5);
+/// Data of the event that ends a stream.
+const END_MARKER: &str = "[DONE]";
 
-type Piece = std::result::Result<Frame<Bytes>, volo_http::error::BoxError>;
+/// How relaying one stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayEnd {
+    /// The caller has the whole answer.
+    Whole,
+    /// The caller left.
+    CallerGone,
+    /// The stream can't be sent on.
+    Failed(AttemptFailure),
+}
 
-/// Gets the answer to a request and relays it.
-pub async fn answer(context: Arc<InstanceContext>, request: OnlineRequest) -> Result<Response> {
-    let group = &request.tier.upstreams;
-    let Some(guard) = context.upstreams.pick(group, &[]) else {
-        let message = format!("no upstream of {group} is available");
-        return Err(CallError::new(ErrorKind::NoUpstream, message));
-    };
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, http::HeaderValue::from_static(answer::JSON));
-    let call = HttpCall::post(guard.upstream().address, request.path.clone())
-        .with_headers(headers)
-        .with_body(request.body.clone());
-    let limits = CallLimits {
-        first_byte: FIRST_BYTE_LIMIT,
-        gap: GAP_LIMIT,
-    };
-    let upstream_answer = context.client.send(call, limits).await;
-    let upstream_answer = upstream_answer.map_err(|e| upstream_error(&e))?;
-    if request.stream && upstream_answer.status() == 200 {
-        return Ok(relay_stream(&context, upstream_answer, guard));
+/// The parts of a chunk that decide whether it is sent on.
+#[derive(Deserialize)]
+struct ChunkHead<'a> {
+    #[serde(default, borrow)]
+    id: Cow<'a, str>,
+    #[serde(default, borrow)]
+    choices: Option<&'a RawValue>,
+    #[serde(default, borrow)]
+    error: Option<&'a RawValue>,
+}
+
+/// Sends on what the caller does not have yet. `relayed_id` is the answer's name as the caller
+/// knows it; an answer generated again goes on under it.
+pub async fn relay(
+    mut events: EventReader,
+    assembly: &mut StreamAssembly,
+    port: &mut CallerPort,
+    times: &mut RequestTimes,
+    relayed_id: &mut Option<String>,
+    arrived_ms: u64,
+) -> RelayEnd {
+    loop {
+        let event = match port.wait(events.next()).await {
+            None => return RelayEnd::CallerGone,
+            Some(None) => return RelayEnd::Failed(AttemptFailure::Broken),
+            Some(Some(Err(failure))) => return RelayEnd::Failed(failure),
+            Some(Some(Ok(event))) => event,
+        };
+        let piece = match take_event(&event, assembly, relayed_id) {
+            Err(failure) => return RelayEnd::Failed(failure),
+            Ok((EventStep::Skip, _)) => continue,
+            Ok((EventStep::Finish, data)) => {
+                return match port.send(data).await {
+                    true => RelayEnd::Whole,
+                    false => RelayEnd::CallerGone,
+                };
+            }
+            Ok((EventStep::Forward, data)) => data,
+        };
+        times.note_token(arrived_ms, steady_ms());
+        if !port.send(piece).await {
+            return RelayEnd::CallerGone;
+        }
     }
-    let status = upstream_answer.status();
-    let body = upstream_answer.read_all().await;
-    let body = body.map_err(|e| upstream_error(&e))?;
-    Ok(answer::bytes(status, answer::JSON, body))
 }
 
-fn upstream_error(e: &HttpError) -> CallError {
-    let error = CallError::new(ErrorKind::UpstreamFailed, e.to_string());
-    match e.is_unsent() {
-        true => error.with_ran(RanState::No),
-        false => error,
+fn take_event(
+    event: &Event,
+    assembly: &mut StreamAssembly,
+    relayed_id: &mut Option<String>,
+) -> std::result::Result<(EventStep, Bytes), AttemptFailure> {
+    let wrong = |e| {
+        log::warn!("event=stream_refused error={:?}", format!("{e}"));
+        AttemptFailure::WrongStream
+    };
+    if event.data == END_MARKER {
+        let step = assembly.accept(StreamEvent::End).map_err(wrong)?;
+        return Ok((step, data_piece(END_MARKER)));
+    }
+    let head: ChunkHead<'_> =
+        serde_json::from_str(&event.data).map_err(|_| AttemptFailure::WrongStream)?;
+    if head.error.is_some() {
+        return Err(AttemptFailure::WrongStream);
+    }
+    let token = StreamEvent::Token {
+        index: event.id.parse().ok(),
+        answer: &head.id,
+        content: head.choices.map_or("", RawValue::get),
+    };
+    let step = assembly.accept(token).map_err(wrong)?;
+    let known = relayed_id.get_or_insert_with(|| head.id.clone().into_owned());
+    if *known == head.id {
+        return Ok((step, data_piece(&event.data)));
     }
+    Ok((step, data_piece(&renamed(&event.data, known))))
 }
 
-/// Relays a stream piece by piece in a task that a planned stop waits for.
-fn relay_stream(
-    context: &InstanceContext,
-    upstream_answer: HttpAnswer,
-    guard: InFlightGuard,
-) -> Response {
-    let (sender, receiver) = mpsc::channel::<Piece>(STREAM_BUFFER);
-    context.work.spawn(copy(upstream_answer, guard, sender));
-    let pieces = stream::unfold(receiver, |mut receiver| async {
-        let piece = receiver.recv().await?;
-        Some((piece, receiver))
-    });
-    answer::stream(200, answer::EVENT_STREAM, Body::from_stream(pieces))
+/// A chunk under another name of its answer.
+fn renamed(data: &str, id: &str) -> String {
+    let mut chunk: Value = serde_json::from_str(data).unwrap_or_default();
+    chunk["id"] = id.into();
+    chunk.to_string()
 }
 
-async fn copy(mut upstream_answer: HttpAnswer, guard: InFlightGuard, sender: mpsc::Sender<Piece>) {
-    let _in_flight = guard;
-    loop {
-        let piece = match upstream_answer.next_chunk().await {
-            Ok(None) => return,
-            Ok(Some(bytes)) => Ok(Frame::data(bytes)),
-            Err(e) => Err(Box::new(e).into()),
-        };
-        let broken = piece.is_err();
-        if sender.send(piece).await.is_err() || broken {
-            return;
-        }
-    }
+fn data_piece(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
 }
--- /dev/null
+++ b/crates/entry/src/request_run.rs
@@ -0,0 +1,323 @@
+//! One accepted request from its first attempt to its end: attempt, relay, and what follows a
+//! failure. It runs in a task of its own, which a planned stop waits for and which ends the
+//! upstream's work when the caller has gone.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use amaranth_kernel::retry::{
+    AttemptFailure, MAX_ATTEMPTS, NextStep, RequestProgress, first_step, next_step,
+};
+use amaranth_kernel::stream_assembly::StreamAssembly;
+use amaranth_net::answer;
+use amaranth_net::client::HttpAnswer;
+use amaranth_net::clock::steady_ms;
+use amaranth_settings::upstream::UpstreamKind;
+use amaranth_wire::error::{CallError, ErrorKind, RanState};
+use amaranth_wire::id::UpstreamId;
+use serde::Deserialize;
+use tokio::time::{sleep, timeout};
+use volo_http::response::Response;
+
+use crate::accept::OnlineRequest;
+use crate::attempt::{self, AttemptLimits};
+use crate::caller_port::CallerPort;
+use crate::context::{InstanceContext, Result};
+use crate::relay::{self, RelayEnd};
+use crate::settle::{RequestEnd, RequestTimes, settle};
+use crate::upstream_table::InFlightGuard;
+
+/// First status that an upstream answers for its own faults.
+const FIRST_FAULT_STATUS: u16 = 500;
+/// Status of a call that is to be repeated later.
+const TOO_MANY_REQUESTS: u16 = 429;
+
+static STREAM_COUNTER: AtomicU64 = AtomicU64::new(0);
+
+/// How one attempt or resume ended.
+enum AttemptEnd {
+    /// The request is done.
+    Done(RequestEnd),
+    /// Something else has to follow.
+    Failed(AttemptFailure),
+}
+
+/// Gets the answer to a request.
+pub async fn answer(context: Arc<InstanceContext>, request: OnlineRequest) -> Result<Response> {
+    let (port, receiver) = CallerPort::new();
+    let work = context.work.clone();
+    work.spawn(run(context, request, port));
+    let lost = || CallError::new(ErrorKind::Internal, "the request's task ended early");
+    receiver.await.map_err(|_| lost())?
+}
+
+async fn run(context: Arc<InstanceContext>, request: OnlineRequest, port: CallerPort) {
+    context.upstreams.note_request(&request.tier.name);
+    let mut run = RequestRun::new(context, request, port);
+    let end = run.drive().await;
+    run.finish(end);
+}
+
+struct RequestRun {
+    context: Arc<InstanceContext>,
+    request: OnlineRequest,
+    port: CallerPort,
+    progress: RequestProgress,
+    assembly: StreamAssembly,
+    times: RequestTimes,
+    relayed_id: Option<String>,
+    current: Option<NamedStream>,
+    excluded: Vec<UpstreamId>,
+}
+
+/// Where the request is, and under which name.
+struct NamedStream {
+    guard: InFlightGuard,
+    stream_id: String,
+}
+
+impl RequestRun {
+    fn new(context: Arc<InstanceContext>, request: OnlineRequest, port: CallerPort) -> Self {
+        Self {
+            progress: RequestProgress::new(request.repeatable, request.deadline_ms),
+            assembly: StreamAssembly::new(),
+            times: RequestTimes::default(),
+            relayed_id: None,
+            current: None,
+            excluded: Vec::new(),
+            context,
+            request,
+            port,
+        }
+    }
+
+    /// Attempts until the request is done. A request is at most at one upstream at a time.
+    async fn drive(&mut self) -> RequestEnd {
+        let mut step = first_step(&self.progress, steady_ms());
+        loop {
+            let end = match step {
+                NextStep::Abandon => return RequestEnd::CallerGone,
+                NextStep::GiveUp(kind, ran) => return RequestEnd::Failed(kind, ran),
+                NextStep::Resume => self.resume().await,
+                NextStep::Retry { delay_ms } => {
+                    self.cancel_current();
+                    let delay = sleep(Duration::from_millis(delay_ms));
+                    if delay_ms > 0 && self.port.wait(delay).await.is_none() {
+                        return RequestEnd::CallerGone;
+                    }
+                    self.attempt().await
+                }
+            };
+            let failure = match end {
+                AttemptEnd::Done(end) => return end,
+                AttemptEnd::Failed(failure) => failure,
+            };
+            self.progress.caller_present = !self.port.is_gone();
+            let mut rng = rand::rng();
+            step = self
+                .context
+                .upstreams
+                .with_budget(&self.request.tier.name, |budget| {
+                    next_step(&self.progress, failure, steady_ms(), budget, &mut rng)
+                });
+        }
+    }
+
+    /// Tells the caller of a failure and ends the upstream's work unless it is done.
+    fn finish(&mut self, end: RequestEnd) {
+        match end {
+            RequestEnd::Answered(_) => self.current = None,
+            RequestEnd::CallerGone => self.cancel_current(),
+            RequestEnd::Failed(kind, ran) => {
+                self.cancel_current();
+                let message = failure_message(kind);
+                self.port.fail(CallError::new(kind, message).with_ran(ran));
+            }
+        }
+        settle(&self.request, end, &self.times, steady_ms());
+    }
+
+    fn left(&self) -> Duration {
+        Duration::from_millis(self.request.deadline_ms.saturating_sub(steady_ms()))
+    }
+
+    fn limits(&self) -> AttemptLimits {
+        let last_try = !self.request.repeatable || self.progress.attempts + 1 >= MAX_ATTEMPTS;
+        AttemptLimits::new(
+            &self.request.tier,
+            self.request.stream,
+            last_try,
+            self.left(),
+        )
+    }
+
+    async fn attempt(&mut self) -> AttemptEnd {
+        let group = &self.request.tier.upstreams;
+        let picked = self.context.upstreams.pick(group, &self.excluded);
+        // A second try at the same upstream is better than none.
+        let picked = picked.or_else(|| self.context.upstreams.pick(group, &[]));
+        let Some(guard) = picked else {
+            let ran = match self.progress.may_have_run {
+                true => RanState::Unknown,
+                false => RanState::No,
+            };
+            return AttemptEnd::Done(RequestEnd::Failed(ErrorKind::NoUpstream, ran));
+        };
+        self.begin_attempt(guard);
+        let limits = self.limits();
+        let current = self.current.as_ref().expect("an attempt has begun");
+        let upstream = current.guard.upstream();
+        let sent = attempt::send(upstream, &self.request, &current.stream_id, limits);
+        let Some(sent) = self.port.wait(sent).await else {
+            self.progress.may_have_run = true;
+            return AttemptEnd::Done(RequestEnd::CallerGone);
+        };
+        match sent {
+            Ok(answer) => self.take_answer(answer, limits).await,
+            Err(failure) => {
+                self.progress.may_have_run |= failure != AttemptFailure::NotRun;
+                AttemptEnd::Failed(failure)
+            }
+        }
+    }
+
+    fn begin_attempt(&mut self, guard: InFlightGuard) {
+        let number = STREAM_COUNTER.fetch_add(1, Ordering::Relaxed);
+        let writer = self.context.config.writer.0;
+        self.excluded.push(guard.upstream().upstream.clone());
+        self.current = Some(NamedStream {
+            guard,
+            stream_id: format!("{writer:016x}-{number}"),
+        });
+        self.progress.attempts += 1;
+        self.progress.fruitless_resumes = 0;
+        self.progress.resumable = false;
+        self.times.attempts += 1;
+        self.assembly.restart();
+    }
+
+    async fn take_answer(&mut self, answer: HttpAnswer, limits: AttemptLimits) -> AttemptEnd {
+        let status = answer.status();
+        if status == 200 && self.request.stream {
+            self.progress.may_have_run = true;
+            self.progress.resumable = self.request.kind == UpstreamKind::Engine;
+            return self.relay(answer, limits).await;
+        }
+        let content_type = content_type(&answer);
+        let left = self.left();
+        let Some(body) = self.port.wait(attempt::read_whole(answer, left)).await else {
+            self.progress.may_have_run = true;
+            return AttemptEnd::Done(RequestEnd::CallerGone);
+        };
+        let not_run = body.as_ref().is_ok_and(|body| says_not_run(status, body));
+        self.progress.may_have_run |= !not_run;
+        match body {
+            Err(failure) => AttemptEnd::Failed(failure),
+            Ok(_) if not_run => AttemptEnd::Failed(AttemptFailure::NotRun),
+            Ok(_) if status >= FIRST_FAULT_STATUS => AttemptEnd::Failed(AttemptFailure::Broken),
+            Ok(_) if self.port.is_streaming() => AttemptEnd::Failed(AttemptFailure::WrongStream),
+            Ok(body) => {
+                self.port
+                    .answer(Ok(answer::bytes(status, content_type, body)));
+                AttemptEnd::Done(RequestEnd::Answered(status))
+            }
+        }
+    }
+
+    /// Asks the current upstream for the rest of its stream, on a connection of its own pool's
+    /// newest generation.
+    async fn resume(&mut self) -> AttemptEnd {
+        self.progress.fruitless_resumes += 1;
+        self.times.resumes += 1;
+        let limits = self.limits().for_resume();
+        let current = self
+            .current
+            .as_ref()
+            .expect("a resumable stream is current");
+        let upstream = current.guard.upstream();
+        let last = self.assembly.last_received();
+        let resumed = attempt::resume(upstream, &current.stream_id, last, limits);
+        match self.port.wait(resumed).await {
+            None => AttemptEnd::Done(RequestEnd::CallerGone),
+            Some(Err(failure)) => AttemptEnd::Failed(failure),
+            Some(Ok(answer)) => self.relay(answer, limits).await,
+        }
+    }
+
+    async fn relay(&mut self, answer: HttpAnswer, limits: AttemptLimits) -> AttemptEnd {
+        self.port.start_stream();
+        let sent_before = self.assembly.last_received();
+        let relay = relay::relay(
+            attempt::events(answer, limits),
+            &mut self.assembly,
+            &mut self.port,
+            &mut self.times,
+            &mut self.relayed_id,
+            self.request.arrived_ms,
+        );
+        let left = Duration::from_millis(self.request.deadline_ms.saturating_sub(steady_ms()));
+        let end = timeout(left, relay).await;
+        if self.assembly.last_received() != sent_before {
+            self.progress.fruitless_resumes = 0;
+        }
+        match end {
+            Err(_) => {
+                let end = RequestEnd::Failed(ErrorKind::DeadlineMissed, RanState::Unknown);
+                AttemptEnd::Done(end)
+            }
+            Ok(RelayEnd::Whole) => AttemptEnd::Done(RequestEnd::Answered(200)),
+            Ok(RelayEnd::CallerGone) => AttemptEnd::Done(RequestEnd::CallerGone),
+            Ok(RelayEnd::Failed(failure)) => AttemptEnd::Failed(failure),
+        }
+    }
+
+    /// Ends the upstream's work for this request, without waiting for it.
+    fn cancel_current(&mut self) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        if self.request.kind != UpstreamKind::Engine {
+            return;
+        }
+        self.context.work.spawn(async move {
+            attempt::cancel(current.guard.upstream(), &current.stream_id).await;
+        });
+    }
+}
+
+fn content_type(answer: &HttpAnswer) -> &'static str {
+    let value = answer.headers().get(http::header::CONTENT_TYPE);
+    let value = value.and_then(|value| value.to_str().ok()).unwrap_or("");
+    [answer::JSON, answer::EVENT_STREAM, answer::JSON_LINES]
+        .into_iter()
+        .find(|known| value.starts_with(known))
+        .unwrap_or(match value.starts_with("text/") {
+            true => answer::TEXT,
+            false => "application/octet-stream",
+        })
+}
+
+/// Whether an upstream's refusal says that the work was not run.
+fn says_not_run(status: u16, body: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Refusal {
+        error: RefusalError,
+    }
+    #[derive(Deserialize)]
+    struct RefusalError {
+        ran: RanState,
+    }
+    let refused = status == TOO_MANY_REQUESTS || status >= FIRST_FAULT_STATUS;
+    let refusal = || serde_json::from_slice::<Refusal>(body).ok();
+    refused && refusal().is_some_and(|refusal| refusal.error.ran == RanState::No)
+}
+
+fn failure_message(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::DeadlineExceeded => "the deadline passed before the request was sent",
+        ErrorKind::DeadlineMissed => "the deadline passed while the request ran",
+        ErrorKind::NoUpstream => "no upstream of the tier is available",
+        _ => "no upstream gave a whole answer",
+    }
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -23,6 +23,10 @@
             "/v1/completions",
             post(handler(context, accept::completion)),
         )
+        .route(
+            "/v1/services/{tier}/{*path}",
+            any(handler(context, accept::service)),
+        )
         .route("/v1/batches", post(handler(context, batch_intake::submit)))
         .route("/v1/batches/{id}", get(handler(context, batch_view::show)))
         .route(
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -2,26 +2,32 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use amaranth_kernel::plugin::routing_policy;
+use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::routing::{RoutingPolicy, UpstreamView};
+use amaranth_net::client::HttpClient;
 use amaranth_settings::fleet::FleetSettings;
 use amaranth_settings::tier::TierSettings;
 use amaranth_settings::upstream::UpstreamKind;
-use amaranth_wire::id::UpstreamId;
+use amaranth_wire::id::{TierId, UpstreamId};
 
 /// The routing policy that is used unless settings name another.
 const DEFAULT_POLICY: &str = "two_choices";
+/// Longest wait for a connection to an upstream.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
 /// One upstream with its counters.
-#[derive(Debug)]
 pub struct UpstreamState {
     /// Its name.
     pub upstream: UpstreamId,
     /// Its address.
     pub address: SocketAddr,
+    /// Calls of it. A connection that goes silent costs only this upstream's pool.
+    pub client: HttpClient,
     speed: f64,
     in_flight: AtomicU32,
 }
@@ -48,6 +54,7 @@
     tier_of_model: HashMap<String, TierSettings>,
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
+    budgets: HashMap<TierId, Mutex<RetryBudget>>,
 }
 
 impl UpstreamTable {
@@ -57,6 +64,7 @@
             let upstreams = group.upstreams().into_iter().filter_map(|settings| {
                 Some(Arc::new(UpstreamState {
                     address: settings.address?,
+                    client: HttpClient::new(CONNECT_LIMIT),
                     upstream: settings.upstream,
                     speed: settings.speed,
                     in_flight: AtomicU32::new(0),
@@ -69,6 +77,20 @@
             tier_of_model: models(fleet),
             policy: routing_policy(DEFAULT_POLICY).expect("the default policy is registered"),
             counter: AtomicU64::new(0),
+            budgets: budgets(fleet),
+        }
+    }
+
+    /// Notes a new request of a tier.
+    pub fn note_request(&self, tier: &TierId) {
+        self.with_budget(tier, RetryBudget::add_request);
+    }
+
+    /// Does something with the retry budget of a tier.
+    pub fn with_budget<T>(&self, tier: &TierId, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        match self.budgets.get(tier) {
+            Some(budget) => act(&mut budget.lock().expect("not poisoned")),
+            None => act(&mut RetryBudget::new()),
         }
     }
 
@@ -97,6 +119,11 @@
     }
 }
 
+fn budgets(fleet: &FleetSettings) -> HashMap<TierId, Mutex<RetryBudget>> {
+    let budget = |tier: &TierSettings| (tier.name.clone(), Mutex::new(RetryBudget::new()));
+    fleet.tiers.iter().map(budget).collect()
+}
+
 fn models(fleet: &FleetSettings) -> HashMap<String, TierSettings> {
     let mut models = HashMap::new();
     for tier in &fleet.tiers {
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -16,7 +16,7 @@
 /// Most attempts of one request, resumed streams not counted.
 pub const MAX_ATTEMPTS: u32 = 4;
 /// Most resumes in a row that bring no token.
-const MAX_FRUITLESS_RESUMES: u32 = 2;
+const MAX_FRUITLESS_RESUMES: u32 = 1;
 /// Upper bound of the wait before the first retry, in milliseconds; doubles with each.
 const BACKOFF_BASE_MS: u64 = 25;
 /// Upper bound of any wait before a retry, in milliseconds.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,6 +5,7 @@
 //! goes when the streams that still use it end.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
@@ -17,6 +18,7 @@
 use tokio::time::timeout;
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
+use volo_http::error::ClientError;
 use volo_http::error::client::ErrorKind as VoloKind;
 use volo_http::response::Response;
 
@@ -166,7 +168,7 @@
         let request = request.body(Body::from(call.body));
         let response = match timeout(limits.first_byte, request.send()).await {
             Ok(Ok(response)) => response,
-            Ok(Err(e)) if *e.kind() == VoloKind::Connect => {
+            Ok(Err(e)) if is_connect_error(&e) => {
                 return Err(HttpError::Connect(e.to_string()));
             }
             Ok(Err(e)) => return Err(HttpError::Broken(e.to_string())),
@@ -221,6 +223,21 @@
     }
 }
 
+/// Whether no connection was made. A refused one is reported as an error of the request.
+fn is_connect_error(e: &ClientError) -> bool {
+    let mut source = std::error::Error::source(e);
+    while let Some(cause) = source {
+        let refused = cause
+            .downcast_ref::<io::Error>()
+            .is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+        if refused {
+            return true;
+        }
+        source = cause.source();
+    }
+    *e.kind() == VoloKind::Connect
+}
+
 fn build_generation(number: u64, connect_limit: Duration) -> PoolGeneration {
     let mut builder = ClientBuilder::new();
     builder.set_connect_timeout(connect_limit);
@@ -255,6 +272,11 @@
         self.response.headers()
     }
 
+    /// Replaces the longest wait between two pieces of the body.
+    pub fn set_gap(&mut self, gap: Duration) {
+        self.gap = gap;
+    }
+
     /// The next piece of the body; `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
--- a/crates/net/src/route.rs
+++ b/crates/net/src/route.rs
@@ -7,7 +7,7 @@
 use amaranth_wire::error::{CallError, ErrorKind};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::HeaderMap;
+use http::{HeaderMap, Method};
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -31,6 +31,11 @@
         self.params.get(index).map_or("", String::as_str)
     }
 
+    /// Method.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
     /// The query, decoded.
     pub fn query<T: DeserializeOwned>(&self) -> Result<T> {
         let query = self.request.uri().query().unwrap_or("");
--- a/crates/net/tests/no_resend.rs
+++ b/crates/net/tests/no_resend.rs
@@ -82,3 +82,13 @@
         assert_eq!(seen, 1 + answers, "pause of {pause_ms} ms");
     }
 }
+
+#[tokio::test]
+async fn a_refused_connection_is_known_as_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let client = HttpClient::new(Duration::from_secs(1));
+    let result = client.fetch(HttpCall::get(address, "/"), LIMITS).await;
+    assert!(result.expect_err("nothing listens").is_unsent());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -248,6 +248,23 @@
     .to_string()
 }
 
+/// The text of a streamed answer, and whether its end marker came.
+pub fn streamed_text(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut ended = false;
+    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            ended = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data).expect("a JSON chunk");
+        text += chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or("");
+    }
+    (text, ended)
+}
+
 /// Body of a batch whose prompts are `PREFIX 0`, `PREFIX 1` and so on.
 pub fn batch_lines(prefix: &str, items: usize, tokens: u32) -> String {
     let line = |index| {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -5,27 +5,10 @@
 
 use amaranth_standin::token_text::whole_answer;
 use serde_json::{Value, json};
-use support::{TestFleet, batch_lines, chat, wait_until};
+use support::{TestFleet, batch_lines, chat, streamed_text, wait_until};
 
 const CHAT: &str = "/v1/chat/completions";
 
-/// The text of a streamed answer, and whether its end marker came.
-fn streamed_text(body: &str) -> (String, bool) {
-    let mut text = String::new();
-    let mut ended = false;
-    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
-        if data == "[DONE]" {
-            ended = true;
-            continue;
-        }
-        let chunk: Value = serde_json::from_str(data).expect("a JSON chunk");
-        text += chunk["choices"][0]["delta"]["content"]
-            .as_str()
-            .expect("content");
-    }
-    (text, ended)
-}
-
 fn check_results(lines: &str, prefix: &str, items: usize, tokens: u32) {
     let lines: Vec<Value> = lines
         .lines()
