Admit online requests by adaptive shares, fair queues and deadlines

Cause: any instance sent any number of requests to any upstream; nothing waited in turn, was refused in time, or was kept from a failing or leaving upstream. Change: load reports are corrected by what this instance sent since and expire; a limit per upstream adapts to its step time and each instance keeps to its share; what finds no room waits per tier, teams in turn, and is refused early with Retry-After when its deadline can't be met or the queue is full. Routing draws two upstreams by measured capacity, or follows the prompt's prefix within a load bound; three failures in a row take an upstream out until a probe does well, never more than half; leaving upstreams are excluded.

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -7,11 +7,14 @@
 use amaranth_net::route::RouteRequest;
 use amaranth_settings::tier::TierSettings;
 use amaranth_settings::upstream::UpstreamKind;
+use amaranth_wire::engine::prefix_hashes;
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::TeamId;
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
+use serde_json::Value;
 use volo_http::response::Response;
 
 use crate::batch_intake::{DEADLINE_HEADER, KEY_HEADER};
@@ -23,12 +26,43 @@
 /// Header that says whether the work may be run more than once.
 pub const REPEATABLE_HEADER: &str = "amaranth-repeatable";
 
+/// Team of callers while no teams are set up.
+const DEFAULT_TEAM: &str = "default";
+/// Blocks at the start of a prompt that decide where it goes.
+const PREFIX_BLOCKS: usize = 4;
+
 /// The parts of a request that decide where it goes.
 #[derive(Debug, Deserialize)]
 struct RequestHead {
     model: String,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    messages: Vec<MessageHead>,
+}
+
+#[derive(Debug, Deserialize)]
+struct MessageHead {
+    #[serde(default)]
+    content: Value,
+}
+
+impl RequestHead {
+    /// Hash of the first blocks of the prompt.
+    fn prefix(&self) -> Option<u64> {
+        let contents = self.messages.iter().map(|message| &message.content);
+        let texts: Vec<_> = contents
+            .chain([&self.prompt])
+            .filter_map(Value::as_str)
+            .collect();
+        let hashes = prefix_hashes(&texts.join("\n"));
+        hashes
+            .get(..hashes.len().min(PREFIX_BLOCKS))?
+            .last()
+            .copied()
+    }
 }
 
 /// An accepted online request.
@@ -44,6 +78,10 @@
     pub tier: TierSettings,
     /// What serves it.
     pub kind: UpstreamKind,
+    /// Who sent it.
+    pub team: TeamId,
+    /// Hash of the start of the prompt, where it is long enough to be cached.
+    pub prefix: Option<u64>,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// The body as the caller sent it.
@@ -95,6 +133,7 @@
     let mut accepted = options.accept(context, tier, body);
     accepted.path = path;
     accepted.stream = head.stream;
+    accepted.prefix = head.prefix();
     Ok(accepted)
 }
 
@@ -152,6 +191,8 @@
             path: String::new(),
             headers,
             kind: group.map_or(UpstreamKind::Engine, |group| group.kind),
+            team: DEFAULT_TEAM.parse().expect("a valid name"),
+            prefix: None,
             stream: false,
             body,
             key: self.key,
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use amaranth_kernel::plugin::{routing_policy, routing_policy_names};
 use amaranth_net::cli::{self, CliAction, Result, UsageError};
 use amaranth_net::exit_codes::ExitCode;
 use amaranth_net::telemetry;
@@ -84,6 +85,11 @@
         );
         return ExitCode::Settings;
     };
+    if routing_policy(&config.fleet.routing).is_none() {
+        let (given, known) = (&config.fleet.routing, routing_policy_names().join(", "));
+        eprintln!("{PROGRAM}: unknown routing policy {given:?}, expected one of {known}");
+        return ExitCode::Settings;
+    }
     if options.check {
         return ExitCode::Success;
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admit::AdmissionDesk;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
 use crate::item_reader::ItemReader;
@@ -40,6 +41,8 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// Online requests that wait for room.
+    pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
     /// Work that a planned stop waits for.
@@ -63,6 +66,7 @@
         Self {
             items: ItemReader::new(log.clone()),
             members: MemberTable::default(),
+            admission: AdmissionDesk::new(&config.fleet),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform.
 
 pub mod accept;
+pub mod admit;
 pub mod attempt;
 pub mod batch_intake;
 pub mod batch_view;
@@ -14,6 +15,7 @@
 pub mod item_reader;
 pub mod item_run;
 pub mod lease_keeper;
+pub mod load_poll;
 pub mod log_client;
 pub mod membership;
 pub mod operator;
@@ -24,4 +26,5 @@
 pub mod routes;
 pub mod settle;
 pub mod shared_state;
+pub mod upstream_state;
 pub mod upstream_table;
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -21,6 +21,7 @@
 use volo_http::response::Response;
 
 use crate::accept::OnlineRequest;
+use crate::admit;
 use crate::attempt::{self, AttemptLimits};
 use crate::caller_port::CallerPort;
 use crate::context::{InstanceContext, Result};
@@ -75,6 +76,7 @@
 struct NamedStream {
     guard: InFlightGuard,
     stream_id: String,
+    since_ms: u64,
 }
 
 impl RequestRun {
@@ -127,7 +129,7 @@
     /// Tells the caller of a failure and ends the upstream's work unless it is done.
     fn finish(&mut self, end: RequestEnd) {
         match end {
-            RequestEnd::Answered(_) => self.current = None,
+            RequestEnd::Answered(_) => self.note_answer(),
             RequestEnd::CallerGone => self.cancel_current(),
             RequestEnd::Failed(kind, ran) => {
                 self.cancel_current();
@@ -138,6 +140,15 @@
         settle(&self.request, end, &self.times, steady_ms());
     }
 
+    fn note_answer(&mut self) {
+        let tier = &self.request.tier.name;
+        if let Some(current) = self.current.take() {
+            let took_ms = steady_ms().saturating_sub(current.since_ms);
+            self.context.admission.note_service(tier, took_ms);
+            current.guard.upstream().note_success();
+        }
+    }
+
     fn left(&self) -> Duration {
         Duration::from_millis(self.request.deadline_ms.saturating_sub(steady_ms()))
     }
@@ -152,17 +163,36 @@
         )
     }
 
-    async fn attempt(&mut self) -> AttemptEnd {
+    /// Waits for room at an upstream. The first attempt waits in its turn; a later one has had
+    /// its turn and its share of the retry budget.
+    async fn admit(&mut self) -> std::result::Result<InFlightGuard, AttemptEnd> {
+        if self.progress.attempts == 0 {
+            let context = self.context.clone();
+            let admitted = admit::admit(&context, &self.request);
+            return match self.port.wait(admitted).await {
+                None => Err(AttemptEnd::Done(RequestEnd::CallerGone)),
+                Some(Ok(guard)) => Ok(guard),
+                Some(Err(refusal)) => {
+                    let end = RequestEnd::Failed(refusal.kind, refusal.ran);
+                    self.port.fail(refusal);
+                    Err(AttemptEnd::Done(end))
+                }
+            };
+        }
         let group = &self.request.tier.upstreams;
         let picked = self.context.upstreams.pick(group, &self.excluded);
         // A second try at the same upstream is better than none.
         let picked = picked.or_else(|| self.context.upstreams.pick(group, &[]));
-        let Some(guard) = picked else {
-            let ran = match self.progress.may_have_run {
-                true => RanState::Unknown,
-                false => RanState::No,
-            };
-            return AttemptEnd::Done(RequestEnd::Failed(ErrorKind::NoUpstream, ran));
+        picked.ok_or_else(|| {
+            let ran = self.progress.ran();
+            AttemptEnd::Done(RequestEnd::Failed(ErrorKind::NoUpstream, ran))
+        })
+    }
+
+    async fn attempt(&mut self) -> AttemptEnd {
+        let guard = match self.admit().await {
+            Ok(guard) => guard,
+            Err(end) => return end,
         };
         self.begin_attempt(guard);
         let limits = self.limits();
@@ -177,6 +207,7 @@
             Ok(answer) => self.take_answer(answer, limits).await,
             Err(failure) => {
                 self.progress.may_have_run |= failure != AttemptFailure::NotRun;
+                self.note_failure();
                 AttemptEnd::Failed(failure)
             }
         }
@@ -189,6 +220,7 @@
         self.current = Some(NamedStream {
             guard,
             stream_id: format!("{writer:016x}-{number}"),
+            since_ms: steady_ms(),
         });
         self.progress.attempts += 1;
         self.progress.fruitless_resumes = 0;
@@ -215,7 +247,10 @@
         match body {
             Err(failure) => AttemptEnd::Failed(failure),
             Ok(_) if not_run => AttemptEnd::Failed(AttemptFailure::NotRun),
-            Ok(_) if status >= FIRST_FAULT_STATUS => AttemptEnd::Failed(AttemptFailure::Broken),
+            Ok(_) if status >= FIRST_FAULT_STATUS => {
+                self.note_failure();
+                AttemptEnd::Failed(AttemptFailure::Broken)
+            }
             Ok(_) if self.port.is_streaming() => AttemptEnd::Failed(AttemptFailure::WrongStream),
             Ok(body) => {
                 self.port
@@ -240,7 +275,10 @@
         let resumed = attempt::resume(upstream, &current.stream_id, last, limits);
         match self.port.wait(resumed).await {
             None => AttemptEnd::Done(RequestEnd::CallerGone),
-            Some(Err(failure)) => AttemptEnd::Failed(failure),
+            Some(Err(failure)) => {
+                self.note_failure();
+                AttemptEnd::Failed(failure)
+            }
             Some(Ok(answer)) => self.relay(answer, limits).await,
         }
     }
@@ -272,6 +310,13 @@
         }
     }
 
+    /// Notes that the current upstream failed.
+    fn note_failure(&self) {
+        if let Some(current) = &self.current {
+            current.guard.upstream().note_failure();
+        }
+    }
+
     /// Ends the upstream's work for this request, without waiting for it.
     fn cancel_current(&mut self) {
         let Some(current) = self.current.take() else {
--- /dev/null
+++ b/crates/entry/src/upstream_state.rs
@@ -0,0 +1,144 @@
+//! What this instance knows of one upstream, and the count of its requests there.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use amaranth_kernel::concurrency_limit::ConcurrencyLimit;
+use amaranth_kernel::ejection::UpstreamHealth;
+use amaranth_kernel::upstream_load::{LoadTracker, LoadView};
+use amaranth_net::client::HttpClient;
+use amaranth_net::clock::unix_ms;
+use amaranth_settings::upstream::UpstreamSettings;
+use amaranth_wire::engine::EngineLoad;
+use amaranth_wire::id::UpstreamId;
+use tokio::sync::Notify;
+
+/// Longest wait for a connection to an upstream.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// One upstream.
+pub struct UpstreamState {
+    /// Its name.
+    pub upstream: UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Calls of it. A connection that goes silent costs only this upstream's pool.
+    pub client: HttpClient,
+    /// Its relative speed by the settings.
+    pub speed: f64,
+    book: Mutex<UpstreamBook>,
+    room: Arc<Notify>,
+}
+
+struct UpstreamBook {
+    load: LoadTracker,
+    limit: ConcurrencyLimit,
+    health: UpstreamHealth,
+    listed_leaving: bool,
+}
+
+/// What a choice between upstreams needs to know of one.
+#[derive(Debug, Clone)]
+pub struct UpstreamSnapshot {
+    /// Its load.
+    pub load: LoadView,
+    /// Its health.
+    pub health: UpstreamHealth,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether this instance's share of its limit has room.
+    pub has_room: bool,
+}
+
+impl UpstreamState {
+    /// An upstream with an address. `room` is told when a request there ends.
+    pub fn new(settings: UpstreamSettings, slots: u32, room: Arc<Notify>) -> Option<Self> {
+        Some(Self {
+            address: settings.address?,
+            upstream: settings.upstream,
+            client: HttpClient::new(CONNECT_LIMIT),
+            speed: settings.speed,
+            book: Mutex::new(UpstreamBook {
+                load: LoadTracker::new(slots),
+                limit: ConcurrencyLimit::new(slots),
+                health: UpstreamHealth::new(),
+                listed_leaving: false,
+            }),
+            room,
+        })
+    }
+
+    fn book(&self) -> MutexGuard<'_, UpstreamBook> {
+        self.book.lock().expect("not poisoned")
+    }
+
+    /// What is known of it, with so many instances beside each other.
+    pub fn snapshot(&self, now_ms: u64, instances: u32) -> UpstreamSnapshot {
+        let book = self.book();
+        let load = book.load.view(now_ms, instances);
+        UpstreamSnapshot {
+            has_room: book.limit.has_room(&load, instances),
+            load,
+            health: book.health,
+            leaving: book.listed_leaving || book.load.is_leaving(),
+        }
+    }
+
+    /// Requests of this instance there.
+    pub fn in_flight(&self) -> u32 {
+        self.book().load.own()
+    }
+
+    /// Takes a load report. `gap_us` is the objective for the time between tokens.
+    pub fn take_report(&self, report: &EngineLoad, gap_us: u64) {
+        let mut book = self.book();
+        if book.load.take_report(report, unix_ms()) {
+            book.limit.adapt(report.slots, report.step_us, gap_us);
+        }
+        drop(book);
+        self.room.notify_one();
+    }
+
+    /// Notes whether the platform lists it as leaving.
+    pub fn set_listed_leaving(&self, leaving: bool) {
+        self.book().listed_leaving = leaving;
+    }
+
+    /// Notes an answer that shows that it does well.
+    pub fn note_success(&self) {
+        self.book().health.succeed();
+    }
+
+    /// Notes a failure that is its fault.
+    pub fn note_failure(&self) {
+        self.book().health.fail(unix_ms());
+    }
+}
+
+/// Counts one request at an upstream for as long as it lives.
+pub struct InFlightGuard(Arc<UpstreamState>);
+
+impl InFlightGuard {
+    /// Counts a request from now on.
+    pub fn new(state: Arc<UpstreamState>) -> Self {
+        let now_ms = unix_ms();
+        let mut book = state.book();
+        book.load.start(now_ms);
+        book.health.start(now_ms);
+        drop(book);
+        Self(state)
+    }
+
+    /// Where the request is.
+    pub fn upstream(&self) -> &UpstreamState {
+        &self.0
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.book().load.end(unix_ms());
+        self.0.room.notify_one();
+    }
+}
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,51 +1,44 @@
-//! The upstreams of every group and what this instance has in flight there.
+//! The upstreams of every group, and the choice between them.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
+use amaranth_kernel::ejection;
 use amaranth_kernel::plugin::routing_policy;
 use amaranth_kernel::retry::RetryBudget;
-use amaranth_kernel::routing::{RoutingPolicy, UpstreamView};
-use amaranth_net::client::HttpClient;
+use amaranth_kernel::routing::{RouteHint, RoutingPolicy, UpstreamView, measured_speeds};
+use amaranth_net::clock::unix_ms;
 use amaranth_settings::fleet::FleetSettings;
 use amaranth_settings::tier::TierSettings;
-use amaranth_settings::upstream::UpstreamKind;
+use amaranth_settings::upstream::{UpstreamGroup, UpstreamKind};
 use amaranth_wire::id::{TierId, UpstreamId};
+use tokio::sync::Notify;
 
-/// The routing policy that is used unless settings name another.
-const DEFAULT_POLICY: &str = "two_choices";
-/// Longest wait for a connection to an upstream.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-
-/// One upstream with its counters.
-pub struct UpstreamState {
-    /// Its name.
-    pub upstream: UpstreamId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Calls of it. A connection that goes silent costs only this upstream's pool.
-    pub client: HttpClient,
-    speed: f64,
-    in_flight: AtomicU32,
-}
+pub use crate::upstream_state::{InFlightGuard, UpstreamState};
 
-/// Counts one request at an upstream for as long as it lives.
-pub struct InFlightGuard(Arc<UpstreamState>);
+/// The routing policy that is used when the settings' is not known.
+const DEFAULT_POLICY: &str = "two_choices";
 
-impl InFlightGuard {
-    /// Where the request is.
-    pub fn upstream(&self) -> &UpstreamState {
-        &self.0
-    }
+/// What is asked of a choice.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PickRules<'a> {
+    /// Upstreams that may not be chosen.
+    pub excluded: &'a [UpstreamId],
+    /// Hash of the start of the prompt.
+    pub prefix: Option<u64>,
+    /// Whether only upstreams with room in this instance's share may be chosen.
+    pub with_room: bool,
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
+/// The result of a choice.
+pub enum PickResult {
+    /// An upstream, with the request counted there.
+    Picked(InFlightGuard),
+    /// Some could take it, but none has room now.
+    Full,
+    /// None can take it.
+    Unavailable,
 }
 
 /// The upstreams by group.
@@ -54,30 +47,26 @@
     tier_of_model: HashMap<String, TierSettings>,
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
+    instances: AtomicU32,
     budgets: HashMap<TierId, Mutex<RetryBudget>>,
+    room: Arc<Notify>,
 }
 
 impl UpstreamTable {
     /// The upstreams that the settings give addresses for.
     pub fn new(fleet: &FleetSettings) -> Self {
-        let groups = fleet.upstreams.iter().map(|group| {
-            let upstreams = group.upstreams().into_iter().filter_map(|settings| {
-                Some(Arc::new(UpstreamState {
-                    address: settings.address?,
-                    client: HttpClient::new(CONNECT_LIMIT),
-                    upstream: settings.upstream,
-                    speed: settings.speed,
-                    in_flight: AtomicU32::new(0),
-                }))
-            });
-            (group.name.clone(), upstreams.collect())
-        });
+        let room = Arc::new(Notify::new());
+        let groups = fleet.upstreams.iter();
+        let groups = groups.map(|group| (group.name.clone(), group_states(group, &room)));
+        let policy = routing_policy(&fleet.routing).or_else(|| routing_policy(DEFAULT_POLICY));
         Self {
             groups: groups.collect(),
             tier_of_model: models(fleet),
-            policy: routing_policy(DEFAULT_POLICY).expect("the default policy is registered"),
+            policy: policy.expect("the default policy is registered"),
             counter: AtomicU64::new(0),
+            instances: AtomicU32::new(fleet.instances.len().max(1) as u32),
             budgets: budgets(fleet),
+            room,
         }
     }
 
@@ -99,26 +88,101 @@
         self.tier_of_model.get(model)
     }
 
+    /// The upstreams of a group.
+    pub fn group(&self, group: &str) -> &[Arc<UpstreamState>] {
+        self.groups.get(group).map_or(&[], Vec::as_slice)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
+        let groups = self.groups.iter();
+        groups.flat_map(|(name, states)| states.iter().map(move |state| (name.as_str(), state)))
+    }
+
+    /// Notes how many instances share the upstreams.
+    pub fn set_instances(&self, instances: usize) {
+        let instances = instances.max(1) as u32;
+        self.instances.store(instances, Ordering::Relaxed);
+    }
+
+    /// Waits until there may be room that was not there before.
+    pub async fn room_changed(&self) {
+        self.room.notified().await;
+    }
+
     /// Picks an upstream of a group, leaving out some, and counts a request there.
     pub fn pick(&self, group: &str, excluded: &[UpstreamId]) -> Option<InFlightGuard> {
-        let upstreams = self.groups.get(group)?;
-        let views: Vec<_> = upstreams
+        let rules = PickRules {
+            excluded,
+            ..PickRules::default()
+        };
+        match self.pick_by(group, rules) {
+            PickResult::Picked(guard) => Some(guard),
+            PickResult::Full | PickResult::Unavailable => None,
+        }
+    }
+
+    /// Picks an upstream of a group by some rules, and counts a request there.
+    pub fn pick_by(&self, group: &str, rules: PickRules<'_>) -> PickResult {
+        let states = self.group(group);
+        let (mut views, rooms) = self.views(states, rules.excluded);
+        if !views.iter().any(|view| view.available) {
+            return PickResult::Unavailable;
+        }
+        if rules.with_room {
+            for (view, has_room) in views.iter_mut().zip(rooms) {
+                view.available &= has_room;
+            }
+        }
+        let hint = RouteHint {
+            counter: self.counter.fetch_add(1, Ordering::Relaxed),
+            prefix: rules.prefix,
+        };
+        match (self.policy.pick)(&views, hint, &mut rand::rng()) {
+            Some(index) => PickResult::Picked(InFlightGuard::new(states[index].clone())),
+            None => PickResult::Full,
+        }
+    }
+
+    fn views(
+        &self,
+        states: &[Arc<UpstreamState>],
+        excluded: &[UpstreamId],
+    ) -> (Vec<UpstreamView>, Vec<bool>) {
+        let now_ms = unix_ms();
+        let instances = self.instances.load(Ordering::Relaxed);
+        let snapshots: Vec<_> = states
             .iter()
-            .map(|state| UpstreamView {
-                upstream: state.upstream.clone(),
-                available: !excluded.contains(&state.upstream),
-                in_flight: state.in_flight.load(Ordering::Relaxed),
-                speed: state.speed,
-            })
+            .map(|state| state.snapshot(now_ms, instances))
             .collect();
-        let counter = self.counter.fetch_add(1, Ordering::Relaxed);
-        let index = (self.policy.pick)(&views, counter, &mut rand::rng())?;
-        let picked = upstreams[index].clone();
-        picked.in_flight.fetch_add(1, Ordering::Relaxed);
-        Some(InFlightGuard(picked))
+        let healths: Vec<_> = snapshots.iter().map(|snapshot| snapshot.health).collect();
+        let healthy = ejection::available(&healths, now_ms);
+        let settings: Vec<_> = states.iter().map(|state| state.speed).collect();
+        let steps: Vec<_> = snapshots.iter().map(|s| s.load.step_us).collect();
+        let speeds = measured_speeds(&settings, &steps);
+        let view = |index: usize| UpstreamView {
+            upstream: states[index].upstream.clone(),
+            available: healthy[index]
+                && !snapshots[index].leaving
+                && !excluded.contains(&states[index].upstream),
+            in_flight: snapshots[index].load.own,
+            load: snapshots[index].load.total,
+            slots: snapshots[index].load.slots,
+            speed: speeds[index],
+        };
+        let views = (0..states.len()).map(view).collect();
+        let rooms = snapshots.iter().map(|snapshot| snapshot.has_room);
+        (views, rooms.collect())
     }
 }
 
+fn group_states(group: &UpstreamGroup, room: &Arc<Notify>) -> Vec<Arc<UpstreamState>> {
+    let upstreams = group.upstreams().into_iter();
+    let states =
+        upstreams.filter_map(|settings| UpstreamState::new(settings, group.slots, room.clone()));
+    states.map(Arc::new).collect()
+}
+
 fn budgets(fleet: &FleetSettings) -> HashMap<TierId, Mutex<RetryBudget>> {
     let budget = |tier: &TierSettings| (tier.name.clone(), Mutex::new(RetryBudget::new()));
     fleet.tiers.iter().map(budget).collect()
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,9 +1,12 @@
 //! Decisions and the state folded from the log. Pure: time, randomness and membership come in as
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
+pub mod admission_queue;
 pub mod bitmap;
+pub mod concurrency_limit;
 pub mod config_state;
 pub mod cursor;
+pub mod ejection;
 pub mod hashing;
 pub mod lease;
 pub mod ledger;
@@ -11,3 +14,4 @@
 pub mod retry;
 pub mod routing;
 pub mod stream_assembly;
+pub mod upstream_load;
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -101,7 +101,8 @@
         }
     }
 
-    fn ran(&self) -> RanState {
+    /// What may be claimed about the work.
+    pub fn ran(&self) -> RanState {
         match self.may_have_run {
             true => RanState::Unknown,
             false => RanState::No,
--- /dev/null
+++ b/crates/kernel/tests/admission.rs
@@ -0,0 +1,233 @@
+//! Queues, limits and ejection over random arrivals and clock steps.
+
+use std::collections::HashMap;
+
+use amaranth_kernel::admission_queue::{AdmissionQueue, ArrivalStep, HeadStep, QueueTicket};
+use amaranth_kernel::concurrency_limit::ConcurrencyLimit;
+use amaranth_kernel::ejection::{UpstreamHealth, available};
+use amaranth_kernel::upstream_load::LoadTracker;
+use amaranth_wire::engine::EngineLoad;
+use amaranth_wire::id::TeamId;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn team(index: usize) -> TeamId {
+    format!("team-{index}").parse().expect("a valid name")
+}
+
+#[derive(Debug, Clone)]
+enum QueueEvent {
+    Arrive { team: usize, deadline_in_ms: u64 },
+    Room,
+    Leave(usize),
+    Served(u64),
+    Clock(u64),
+}
+
+fn queue_event() -> impl Strategy<Value = QueueEvent> {
+    prop_oneof![
+        4 => (0..4usize, 1..2_000u64).prop_map(|(team, deadline_in_ms)| QueueEvent::Arrive {
+            team,
+            deadline_in_ms
+        }),
+        2 => Just(QueueEvent::Room),
+        1 => (0..64usize).prop_map(QueueEvent::Leave),
+        1 => (0..500u64).prop_map(QueueEvent::Served),
+        2 => (0..300u64).prop_map(QueueEvent::Clock),
+    ]
+}
+
+fn load(time_ms: u64, total: u32) -> EngineLoad {
+    EngineLoad {
+        time_ms,
+        active: total,
+        waiting: 0,
+        slots: 16,
+        step_us: 10_000,
+        leaving: false,
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Every request that waits is sent or refused exactly once, none is sent after its deadline,
+    /// and no more wait than the limit allows.
+    #[test]
+    fn a_queue_loses_nothing_and_sends_nothing_late(
+        limit in 1..12usize,
+        events in prop::collection::vec(queue_event(), 1..200),
+    ) {
+        let mut queue = AdmissionQueue::new(limit);
+        let mut waiting: HashMap<QueueTicket, u64> = HashMap::new();
+        let mut now = 0;
+        for event in events {
+            match event {
+                QueueEvent::Clock(step) => now += step,
+                QueueEvent::Served(took) => queue.note_service(took),
+                QueueEvent::Arrive { team: index, deadline_in_ms } => {
+                    let deadline = now + deadline_in_ms;
+                    match queue.arrive(&team(index), deadline, now) {
+                        ArrivalStep::Wait(ticket) => {
+                            prop_assert!(waiting.insert(ticket, deadline).is_none());
+                        }
+                        ArrivalStep::Displace { waiting: ticket, displaced } => {
+                            prop_assert!(waiting.remove(&displaced).is_some());
+                            prop_assert!(waiting.insert(ticket, deadline).is_none());
+                        }
+                        ArrivalStep::Refuse(refusal) => prop_assert!(refusal.retry_after_ms > 0),
+                    }
+                }
+                QueueEvent::Room => match queue.next(now) {
+                    None => prop_assert!(waiting.is_empty()),
+                    Some(HeadStep::Send(ticket)) => {
+                        let deadline = waiting.remove(&ticket);
+                        prop_assert!(deadline.is_some_and(|deadline| now < deadline));
+                    }
+                    Some(HeadStep::Refuse(ticket, _)) => {
+                        prop_assert!(waiting.remove(&ticket).is_some());
+                    }
+                },
+                QueueEvent::Leave(index) => {
+                    let left = waiting.keys().min().map(|t| QueueTicket(t.0 + index as u64));
+                    if let Some(ticket) = left.filter(|t| waiting.remove(t).is_some()) {
+                        queue.remove(ticket);
+                    }
+                }
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert!(queue.len() <= limit);
+        }
+    }
+
+    /// A team that sends much does not push out one that sends little, and they take turns.
+    #[test]
+    fn teams_take_turns(first in 1..40usize, second in 1..10usize) {
+        let mut queue = AdmissionQueue::new(1_000);
+        let mut tickets = HashMap::new();
+        for (index, count) in [(0, first), (1, second)] {
+            for _ in 0..count {
+                let ArrivalStep::Wait(ticket) = queue.arrive(&team(index), 1_000_000, 0) else {
+                    return Err(TestCaseError::fail("refused"));
+                };
+                tickets.insert(ticket, index);
+            }
+        }
+        let both = first.min(second);
+        let mut sent = [0usize; 2];
+        for _ in 0..2 * both {
+            let Some(HeadStep::Send(ticket)) = queue.next(1) else {
+                return Err(TestCaseError::fail("nothing to send"));
+            };
+            sent[tickets[&ticket]] += 1;
+        }
+        prop_assert_eq!(sent, [both, both]);
+    }
+
+    /// Instances that see each other only in lagging reports keep to the limit together and use it.
+    #[test]
+    fn instances_share_a_limit(
+        instances in 1..13usize,
+        start in prop::collection::vec(0..60u32, 12),
+    ) {
+        let limit = ConcurrencyLimit::new(16);
+        let mut trackers = vec![LoadTracker::new(16); instances];
+        for (tracker, &own) in trackers.iter_mut().zip(&start) {
+            (0..own).for_each(|_| tracker.start(0));
+        }
+        // Every instance has more to send than there is room; requests above the allowance end.
+        for round in 1..200u64 {
+            let now = round * 100;
+            let total = trackers.iter().map(LoadTracker::own).sum();
+            for tracker in &mut trackers {
+                tracker.take_report(&load(now - 50, total), now);
+                let allowed = limit.allowance(&tracker.view(now, instances as u32), instances as u32);
+                while tracker.own() < allowed {
+                    tracker.start(now);
+                }
+                while tracker.own() > allowed {
+                    tracker.end(now);
+                }
+            }
+        }
+        let total: u32 = trackers.iter().map(LoadTracker::own).sum();
+        let instances = instances as u32;
+        prop_assert!(total <= limit.value() + instances, "{total} at once");
+        prop_assert!(total >= 16.min(limit.value()) - instances.min(6), "only {total} at once");
+    }
+
+    /// An old report is not taken for a new one, and what was sent since is added to it.
+    #[test]
+    fn a_report_is_corrected_by_what_was_sent_since(
+        before in 0..20u32, others in 0..20u32, after in 0..20u32, lag in 10..500u64,
+    ) {
+        let mut tracker = LoadTracker::new(16);
+        (0..before).for_each(|_| tracker.start(1_000));
+        (0..after).for_each(|_| tracker.start(2_000 + 20));
+        prop_assert!(tracker.take_report(&load(2_000, before + others), 2_000 + 20 + lag));
+        prop_assert!(!tracker.take_report(&load(1_990, 99), 2_000 + 30 + lag));
+        let view = tracker.view(2_000 + 30 + lag, 12);
+        prop_assert_eq!(view.total, before + others + after);
+        let late = tracker.view(2_000 + 3_000, 12);
+        prop_assert_eq!(late.reported, None);
+        prop_assert_eq!(late.total, (before + after) * 12);
+    }
+
+    /// However attempts end, some upstream stays available; one that failed is probed later.
+    #[test]
+    fn never_all_upstreams_are_out(
+        count in 1..8usize,
+        ends in prop::collection::vec((0..8usize, any::<bool>(), 0..2_000u64), 1..200),
+    ) {
+        let mut healths = vec![UpstreamHealth::new(); count];
+        let mut now = 0;
+        for (index, success, step) in ends {
+            now += step;
+            let health = &mut healths[index % count];
+            health.start(now);
+            match success {
+                true => health.succeed(),
+                false => health.fail(now),
+            }
+            let open = available(&healths, now);
+            prop_assert!(open.iter().filter(|&&open| open).count() * 2 >= count);
+            let later = now + 30_000;
+            prop_assert!(healths.iter().all(|health| health.is_available(later)));
+        }
+    }
+}
+
+#[test]
+fn failures_in_a_row_take_an_upstream_out_until_a_probe_does_well() {
+    let mut health = UpstreamHealth::new();
+    (0..3).for_each(|_| health.fail(0));
+    assert!(!health.is_available(999));
+    assert!(health.is_available(1_000));
+    health.start(1_000);
+    assert!(!health.is_available(1_001), "one probe at a time");
+    health.fail(1_100);
+    assert!(
+        !health.is_available(3_000),
+        "twice as long after a failed probe"
+    );
+    health.start(3_100);
+    health.succeed();
+    assert!(health.is_available(3_101));
+}
+
+#[test]
+fn a_full_queue_refuses_early_what_cannot_be_in_time() {
+    let mut queue = AdmissionQueue::new(10);
+    queue.note_service(500);
+    let refused = queue.arrive(&team(0), 400, 0);
+    assert!(matches!(refused, ArrivalStep::Refuse(_)), "{refused:?}");
+}
--- a/crates/net/src/answer.rs
+++ b/crates/net/src/answer.rs
@@ -19,7 +19,7 @@
 /// Content type of plain text.
 pub const TEXT: &str = "text/plain; charset=utf-8";
 /// Seconds after which a refused caller may try again.
-const RETRY_AFTER_S: &str = "1";
+const RETRY_AFTER_S: u64 = 1;
 
 /// An answer with a body.
 pub fn bytes(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Response {
@@ -69,8 +69,9 @@
 pub fn error(error: &CallError) -> Response {
     let row = error.kind.row();
     let mut response = json(row.status, &error_json(error));
-    if row.retryable && row.kind != ErrorKind::Internal {
-        let value = HeaderValue::from_static(RETRY_AFTER_S);
+    if row.retryable && row.kind != ErrorKind::Internal || error.retry_after_ms.is_some() {
+        let seconds = error.retry_after_ms.map(|ms| ms.div_ceil(1_000).max(1));
+        let value = HeaderValue::from(seconds.unwrap_or(RETRY_AFTER_S));
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     response
--- a/crates/net/src/route.rs
+++ b/crates/net/src/route.rs
@@ -8,7 +8,7 @@
 use amaranth_wire::error::{CallError, ErrorKind};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::HeaderMap;
+use http::{HeaderMap, Method};
 use serde::de::DeserializeOwned;
 use volo::net::Address;
 use volo_http::body::Body;
@@ -39,6 +39,11 @@
         self.peer
     }
 
+    /// Method.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
     /// The query, decoded.
     pub fn query<T: DeserializeOwned>(&self) -> Result<T> {
         let query = self.request.uri().query().unwrap_or("");
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -75,6 +75,8 @@
     pub teams: Vec<TeamSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
+    /// Name of the routing policy of online requests.
+    pub routing: String,
 }
 
 impl FleetSettings {
@@ -121,6 +123,7 @@
         let tiers = section.sections("tiers", TierSettings::decode);
         let teams = section.sections("teams", decode_team);
         let bodies = section.section("bodies", decode_bodies);
+        let routing = section.text_or("routing", "prefix_affinity".to_owned());
         let settings = Self {
             fleet: fleet?,
             data_centres: data_centres?,
@@ -130,6 +133,7 @@
             tiers: tiers?,
             teams: teams?,
             bodies: bodies.unwrap_or_else(default_bodies),
+            routing: routing?,
         };
         settings.check(section);
         Some(settings)
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -177,6 +177,9 @@
     pub message: String,
     /// Whether the work can have run.
     pub ran: RanState,
+    /// When the same request may succeed, in milliseconds from now, where that is known.
+    #[serde(default)]
+    pub retry_after_ms: Option<u64>,
 }
 
 impl CallError {
@@ -186,9 +189,16 @@
             kind,
             message: message.into(),
             ran: kind.row().ran,
+            retry_after_ms: None,
         }
     }
 
+    /// Says when the same request may succeed.
+    pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
     /// Replaces the claim about the work.
     pub fn with_ran(mut self, ran: RanState) -> Self {
         self.ran = ran;
