Tell slow whole answers from silent ones, and prove resumes and cancels

Cause: an answer in one piece was taken for silent after half of its time; under overload it was sent again, and work that was refused to one caller's benefit was run twice (test overload_is_refused_early_and_truthfully: "refused work was run"). Change: only a time far beyond the tier's usual one (four times the moving average, at least half of what is left) counts as silence, and none where nothing may follow. Ruled out: asking the upstream for a stream and putting the whole answer together here, which would lose fields that this system does not know.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use amaranth_kernel::admission_queue::{
     AdmissionQueue, ArrivalStep, HeadStep, QueueRefusal, QueueTicket,
@@ -73,6 +74,12 @@
         }
     }
 
+    /// How long an answer of a tier usually takes from its first attempt.
+    pub fn usual_service(&self, tier: &TierId) -> Option<Duration> {
+        let service_ms = self.tiers.get(tier)?.line().queue.service_ms();
+        service_ms.map(|ms| Duration::from_secs_f64(ms / 1_000.0))
+    }
+
     /// Sends waiting requests for as long as there is room.
     fn pump(&self, upstreams: &UpstreamTable) {
         for desk in self.tiers.values() {
@@ -158,7 +165,7 @@
         Arrival::Waits(place, verdict) => (place, verdict),
     };
     let left = request.deadline_ms.saturating_sub(steady_ms());
-    let left = std::time::Duration::from_millis(left);
+    let left = Duration::from_millis(left);
     let told = tokio::time::timeout(left, verdict).await;
     drop(place);
     match told {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,7 +5,6 @@
 use amaranth_kernel::retry::AttemptFailure;
 use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpError};
 use amaranth_net::telemetry::quote;
-use amaranth_settings::tier::TierSettings;
 use amaranth_wire::engine::{LAST_EVENT_ID_HEADER, STREAM_ID_HEADER, STREAMS_PATH};
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
@@ -20,6 +19,9 @@
 const FIRST_TOKEN_FACTOR: u32 = 8;
 /// Longest wait between tokens, as a multiple of the tier's objective.
 const GAP_FACTOR: u32 = 15;
+/// Longest wait for an answer in one piece that may be tried again, as a multiple of the usual
+/// time.
+const WHOLE_ANSWER_FACTOR: u32 = 4;
 /// Longest wait for the answer to a cancel.
 const CANCEL_LIMIT: Duration = Duration::from_secs(1);
 /// Longest answer in one piece that is taken from an upstream, in bytes.
@@ -43,15 +45,18 @@
 }
 
 impl AttemptLimits {
-    /// The limits on a request of this tier, with so much time left. An answer in one piece shows
-    /// no sign of life before its end: a first attempt that may be followed by another gets half
-    /// of the time.
-    pub fn new(tier: &TierSettings, stream: bool, last_try: bool, left: Duration) -> Self {
+    /// The limits on an attempt of a request. An answer in one piece shows no sign of life before
+    /// its end: only a time far beyond the usual one is taken for silence, and none when nothing
+    /// may follow.
+    pub fn new(request: &OnlineRequest, left: Duration, usual: Option<Duration>) -> Self {
+        let tier = &request.tier;
         let first_token = tier.first_token.duration() * FIRST_TOKEN_FACTOR;
-        let head = match (stream, last_try) {
+        let head = match (request.stream, usual) {
             (true, _) => first_token,
-            (false, false) => left / 2,
-            (false, true) => left,
+            (false, Some(usual)) if request.repeatable => {
+                (left / 2).max(usual * WHOLE_ANSWER_FACTOR)
+            }
+            (false, _) => left,
         };
         Self {
             head: head.min(left),
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -6,9 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranth_kernel::retry::{
-    AttemptFailure, MAX_ATTEMPTS, NextStep, RequestProgress, first_step, next_step,
-};
+use amaranth_kernel::retry::{AttemptFailure, NextStep, RequestProgress, first_step, next_step};
 use amaranth_kernel::stream_assembly::StreamAssembly;
 use amaranth_net::answer;
 use amaranth_net::client::HttpAnswer;
@@ -154,13 +152,11 @@
     }
 
     fn limits(&self) -> AttemptLimits {
-        let last_try = !self.request.repeatable || self.progress.attempts + 1 >= MAX_ATTEMPTS;
-        AttemptLimits::new(
-            &self.request.tier,
-            self.request.stream,
-            last_try,
-            self.left(),
-        )
+        let usual = self
+            .context
+            .admission
+            .usual_service(&self.request.tier.name);
+        AttemptLimits::new(&self.request, self.left(), usual)
     }
 
     /// Waits for room at an upstream. The first attempt waits in its turn; a later one has had
--- a/crates/kernel/src/admission_queue.rs
+++ b/crates/kernel/src/admission_queue.rs
@@ -107,6 +107,11 @@
         self.service_ms = Some(average(self.service_ms, took_ms as f64));
     }
 
+    /// How long a request usually takes, in milliseconds.
+    pub fn service_ms(&self) -> Option<f64> {
+        self.service_ms
+    }
+
     /// Whether a request that is sent now can be answered in time.
     pub fn can_serve(&self, deadline_ms: u64, now_ms: u64) -> bool {
         now_ms as f64 + self.service_ms.unwrap_or(0.0) < deadline_ms as f64
--- /dev/null
+++ b/tests/online_silence.rs
@@ -0,0 +1,153 @@
+//! Connections that go silent for good while new ones work, and connections that break.
+
+mod support;
+
+use amaranth_net::client::{CallLimits, HttpCall};
+use amaranth_standin::token_text::whole_answer;
+use serde_json::{Value, json};
+use std::time::Duration;
+use support::{TestFleet, chat, streamed_text, wait_until};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+const CHAT: &str = "/v1/chat/completions";
+const LIMITS: CallLimits = CallLimits::new(Duration::from_secs(5));
+const TOKENS: u32 = 60;
+
+async fn set_faults(fleet: &TestFleet, engine: usize, faults: Value) {
+    let address = fleet.engines[engine].address;
+    let call = HttpCall::post(address, "/faults").with_body(faults.to_string());
+    let (status, body) = fleet.client.fetch(call, LIMITS).await.expect("an answer");
+    assert!(status < 300, "{status} {body:?}");
+}
+
+async fn counts(fleet: &TestFleet, engine: usize) -> Value {
+    let call = HttpCall::get(fleet.engines[engine].address, "/engine/counts");
+    let counts = fleet.client.fetch_json(call, LIMITS).await;
+    counts.expect("the engine's counts")
+}
+
+/// Opens streams through one instance, and checks each as it ends.
+async fn open(fleet: &TestFleet, count: usize, tokens: u32) -> JoinSet<()> {
+    let mut streams = JoinSet::new();
+    for index in 0..count {
+        let prompt = format!("roof {index}");
+        let body = chat(&prompt, tokens, true);
+        let answer = fleet.open("entry-1", CHAT, &[], body).await;
+        let answer = answer.expect("an answer begins");
+        streams.spawn(async move {
+            let body = answer.read_all().await.expect("the stream ends in order");
+            let body = String::from_utf8(body.to_vec()).expect("text");
+            let expected = (whole_answer(&prompt, tokens), true);
+            assert_eq!(streamed_text(&body), expected, "{body}");
+        });
+    }
+    streams
+}
+
+#[tokio::test]
+async fn silent_connections_are_replaced_and_their_streams_resumed() {
+    let fleet = TestFleet::start_with(1, 1, &["--step", "20ms"], &[]).await;
+    let streams = open(&fleet, 6, TOKENS).await;
+    sleep(Duration::from_millis(200)).await;
+    set_faults(&fleet, 0, json!({"silence_existing": true})).await;
+    streams.join_all().await;
+    let counts = counts(&fleet, 0).await;
+    assert!(counts["resumes"].as_u64() >= Some(6), "{counts}");
+    // Every token was generated once: nothing was run again.
+    assert_eq!(counts["tokens"], 6 * TOKENS, "{counts}");
+}
+
+#[tokio::test]
+async fn broken_connections_cost_no_token() {
+    let fleet = TestFleet::start_with(2, 1, &["--step", "5ms"], &[]).await;
+    for engine in 0..2 {
+        set_faults(&fleet, engine, json!({"break_after_tokens": 9})).await;
+    }
+    open(&fleet, 8, TOKENS).await.join_all().await;
+}
+
+/// The engine forgets the stream, so that another one has to generate the answer again.
+#[tokio::test]
+async fn lost_streams_are_generated_again_elsewhere() {
+    let fleet = TestFleet::start_with(2, 1, &["--step", "5ms"], &[]).await;
+    let faults = json!({"break_after_tokens": 9, "lose_broken": true});
+    set_faults(&fleet, 0, faults).await;
+    open(&fleet, 8, TOKENS).await.join_all().await;
+}
+
+/// A stream that keeps its name at the engine is cancelled there by name: its connection alone
+/// would keep it for a while.
+#[tokio::test]
+async fn a_caller_that_leaves_has_its_stream_cancelled() {
+    let hold = ["--step", "20ms", "--hold", "600s"];
+    let fleet = TestFleet::start_with(1, 1, &hold, &[]).await;
+    let body = chat("roof", 100_000, true);
+    let answer = fleet.open("entry-1", CHAT, &[], body).await;
+    let mut answer = answer.expect("an answer begins");
+    answer.next_chunk().await.expect("a first token");
+    drop(answer);
+    wait_until("the stream is cancelled", async || {
+        counts(&fleet, 0).await["cancels"] == 1
+    })
+    .await;
+}
+
+/// An engine that is told to leave gets no new work after its lagging report has told so.
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_work_and_finishes_its_own() {
+    let fleet = TestFleet::start_with(2, 1, &["--step", "20ms"], &[]).await;
+    let streams = open(&fleet, 8, TOKENS).await;
+    let order = json!({"id": "leave-1", "fence": 1, "action": {"set_leaving": {"leaving": true}}});
+    let call = HttpCall::post(fleet.engines[0].address, "/engine/orders");
+    let call = call.with_body(order.to_string());
+    let (status, body) = fleet.client.fetch(call, LIMITS).await.expect("an answer");
+    assert!(status < 300, "{status} {body:?}");
+    streams.join_all().await;
+    // Longer than the lag of reports and the period in which they are read.
+    sleep(Duration::from_secs(2)).await;
+    let before = counts(&fleet, 0).await;
+    open(&fleet, 20, 4).await.join_all().await;
+    assert_eq!(counts(&fleet, 0).await, before);
+}
+
+/// Overload far beyond the capacity: refusals come with Retry-After and say that nothing was
+/// run, and what was accepted is whole and in time.
+#[tokio::test]
+async fn overload_is_refused_early_and_truthfully() {
+    let slow = ["--step", "10ms", "--slots", "4"];
+    let fleet = TestFleet::start_with(1, 1, &slow, &[]).await;
+    let headers = [("amaranth-deadline-ms", "1500")];
+    // Teaches the instance how long an answer takes.
+    open(&fleet, 4, 50).await.join_all().await;
+    let before = counts(&fleet, 0).await["tokens"].as_u64().expect("a count");
+    let calls = (0..80).map(|index| {
+        let body = chat(&format!("roof {index}"), 50, false);
+        fleet.open("entry-1", CHAT, &headers, body)
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    let (mut answered, mut refused) = (0, 0);
+    for answer in answers {
+        let answer = answer.expect("an answer");
+        let status = answer.status();
+        let retry_after = answer.headers().contains_key("retry-after");
+        let body = answer.read_all().await.expect("a whole answer");
+        let body: Value = serde_json::from_slice(&body).expect("JSON");
+        if status == 200 {
+            answered += 1;
+            continue;
+        }
+        assert!(status == 429 || status == 504, "{status} {body}");
+        if body["error"]["ran"] == "no" {
+            assert!(retry_after, "{body}");
+            refused += 1;
+        }
+    }
+    assert!(
+        answered >= 4 && refused >= 20,
+        "{answered} answered, {refused} refused"
+    );
+    let after = counts(&fleet, 0).await["tokens"].as_u64().expect("a count");
+    let generated = after - before;
+    assert!(generated <= (80 - refused) * 50, "refused work was run");
+}
