--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,6 +6,7 @@
 
 use amaranth_net::client::HttpClient;
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::InstanceId;
 use amaranth_wire::message::InstanceReport;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -13,6 +14,7 @@
 use crate::admit::AdmissionDesk;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
+use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
 use crate::membership::MemberTable;
@@ -45,6 +47,8 @@
     pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
+    /// What the other instances said of themselves.
+    pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
     pub work: TaskTracker,
     /// Cancelled when the process ends.
@@ -67,6 +71,7 @@
             items: ItemReader::new(log.clone()),
             members: MemberTable::default(),
             admission: AdmissionDesk::new(&config.fleet),
+            gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
@@ -100,6 +105,14 @@
         self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
     }
 
+    /// Names of the instances that are listed as live and not believed gone, this one included
+    /// unless it is leaving.
+    pub fn live_instances(&self) -> Vec<InstanceId> {
+        let mut live = self.members.live();
+        live.retain(|instance| !self.gossip.is_lost(instance));
+        live
+    }
+
     /// Refuses work before the log was folded. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
--- a/crates/net/src/route.rs
+++ b/crates/net/src/route.rs
@@ -39,11 +39,6 @@
         self.peer
     }
 
-    /// Method.
-    pub fn method(&self) -> &Method {
-        self.request.method()
-    }
-
     /// The query, decoded.
     pub fn query<T: DeserializeOwned>(&self) -> Result<T> {
         let query = self.request.uri().query().unwrap_or("");
@@ -57,6 +52,11 @@
         uri.path_and_query().map_or("/", |path| path.as_str())
     }
 
+    /// Method.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
     /// Headers.
     pub fn headers(&self) -> &HeaderMap {
         self.request.headers()
