--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -36,6 +36,7 @@
     limit: ConcurrencyLimit,
     health: UpstreamHealth,
     listed_leaving: bool,
+    dither: f64,
 }
 
 /// What a choice between upstreams needs to know of one.
@@ -49,6 +50,8 @@
     pub leaving: bool,
     /// Whether this instance's share of its limit has room.
     pub has_room: bool,
+    /// Whether it has room for a request that gains from the upstream's cache.
+    pub has_affinity_room: bool,
 }
 
 impl UpstreamState {
@@ -64,6 +67,7 @@
                 limit: ConcurrencyLimit::new(slots),
                 health: UpstreamHealth::new(),
                 listed_leaving: false,
+                dither: rand::random(),
             }),
             room,
         })
@@ -78,7 +82,8 @@
         let book = self.book();
         let load = book.load.view(now_ms, instances);
         UpstreamSnapshot {
-            has_room: book.limit.has_room(&load, instances),
+            has_room: book.limit.has_room(&load, instances, book.dither),
+            has_affinity_room: book.limit.has_affinity_room(&load, instances, book.dither),
             load,
             health: book.health,
             leaving: book.listed_leaving || book.load.is_leaving(),
@@ -95,6 +100,7 @@
         let mut book = self.book();
         if book.load.take_report(report, unix_ms()) {
             book.limit.adapt(report.slots, report.step_us, gap_us);
+            book.dither = rand::random();
         }
         drop(book);
         self.room.notify_one();
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -125,15 +125,11 @@
     /// Picks an upstream of a group by some rules, and counts a request there.
     pub fn pick_by(&self, group: &str, rules: PickRules<'_>) -> PickResult {
         let states = self.group(group);
-        let (mut views, rooms) = self.views(states, rules.excluded);
-        if !views.iter().any(|view| view.available) {
+        let views = self.views(states, rules);
+        if !views.iter().any(|(_, open)| *open) {
             return PickResult::Unavailable;
         }
-        if rules.with_room {
-            for (view, has_room) in views.iter_mut().zip(rooms) {
-                view.available &= has_room;
-            }
-        }
+        let views: Vec<_> = views.into_iter().map(|(view, _)| view).collect();
         let hint = RouteHint {
             counter: self.counter.fetch_add(1, Ordering::Relaxed),
             prefix: rules.prefix,
@@ -144,11 +140,12 @@
         }
     }
 
+    /// What is known of some upstreams, and whether they take work at all, room or not.
     fn views(
         &self,
         states: &[Arc<UpstreamState>],
-        excluded: &[UpstreamId],
-    ) -> (Vec<UpstreamView>, Vec<bool>) {
+        rules: PickRules<'_>,
+    ) -> Vec<(UpstreamView, bool)> {
         let now_ms = unix_ms();
         let instances = self.instances.load(Ordering::Relaxed);
         let snapshots: Vec<_> = states
@@ -160,19 +157,22 @@
         let settings: Vec<_> = states.iter().map(|state| state.speed).collect();
         let steps: Vec<_> = snapshots.iter().map(|s| s.load.step_us).collect();
         let speeds = measured_speeds(&settings, &steps);
-        let view = |index: usize| UpstreamView {
-            upstream: states[index].upstream.clone(),
-            available: healthy[index]
-                && !snapshots[index].leaving
-                && !excluded.contains(&states[index].upstream),
-            in_flight: snapshots[index].load.own,
-            load: snapshots[index].load.total,
-            slots: snapshots[index].load.slots,
-            speed: speeds[index],
+        let view = |index: usize| {
+            let (state, snapshot) = (&states[index], &snapshots[index]);
+            let excluded = rules.excluded.contains(&state.upstream);
+            let open = healthy[index] && !snapshot.leaving && !excluded;
+            let view = UpstreamView {
+                upstream: state.upstream.clone(),
+                available: open && (snapshot.has_room || !rules.with_room),
+                affine: open && (snapshot.has_affinity_room || !rules.with_room),
+                in_flight: snapshot.load.own,
+                load: snapshot.load.total,
+                slots: snapshot.load.slots,
+                speed: speeds[index],
+            };
+            (view, open)
         };
-        let views = (0..states.len()).map(view).collect();
-        let rooms = snapshots.iter().map(|snapshot| snapshot.has_room);
-        (views, rooms.collect())
+        (0..states.len()).map(view).collect()
     }
 }
 
--- a/crates/kernel/src/admission_queue.rs
+++ b/crates/kernel/src/admission_queue.rs
@@ -8,6 +8,8 @@
 
 /// Weight of the newest sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Mean deviations above the mean that a request is given to be answered in time.
+const DEVIATIONS: f64 = 2.0;
 /// Longest time that a refused caller is told to wait, in milliseconds.
 const MAX_RETRY_AFTER_MS: u64 = 30_000;
 /// Time that a refused caller is told to wait while nothing is known, in milliseconds.
@@ -63,13 +65,35 @@
     waiting: VecDeque<WaitingRequest>,
 }
 
+/// How long requests take from being sent to their whole answer.
+#[derive(Debug, Clone, Copy)]
+struct ServiceTime {
+    mean_ms: f64,
+    deviation_ms: f64,
+}
+
+impl ServiceTime {
+    fn with_sample(self, took_ms: f64) -> Self {
+        let deviation_ms = (took_ms - self.mean_ms).abs();
+        Self {
+            mean_ms: average(Some(self.mean_ms), took_ms),
+            deviation_ms: average(Some(self.deviation_ms), deviation_ms),
+        }
+    }
+
+    /// Most of the time that a request takes, by the usual rule for timeouts.
+    fn most_ms(self) -> f64 {
+        self.mean_ms + DEVIATIONS * self.deviation_ms
+    }
+}
+
 /// The waiting requests of one tier.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     limit: usize,
     teams: VecDeque<TeamQueue>,
     next_ticket: u64,
-    service_ms: Option<f64>,
+    service: Option<ServiceTime>,
     send_gap_ms: Option<f64>,
     last_send_ms: Option<u64>,
 }
@@ -81,7 +105,7 @@
             limit,
             teams: VecDeque::new(),
             next_ticket: 0,
-            service_ms: None,
+            service: None,
             send_gap_ms: None,
             last_send_ms: None,
         }
@@ -104,17 +128,25 @@
 
     /// Notes how long a request took from being sent to its whole answer.
     pub fn note_service(&mut self, took_ms: u64) {
-        self.service_ms = Some(average(self.service_ms, took_ms as f64));
+        let took_ms = took_ms as f64;
+        self.service = Some(match self.service {
+            None => ServiceTime {
+                mean_ms: took_ms,
+                deviation_ms: took_ms / 2.0,
+            },
+            Some(known) => known.with_sample(took_ms),
+        });
     }
 
     /// How long a request usually takes, in milliseconds.
     pub fn service_ms(&self) -> Option<f64> {
-        self.service_ms
+        self.service.map(|service| service.mean_ms)
     }
 
     /// Whether a request that is sent now can be answered in time.
     pub fn can_serve(&self, deadline_ms: u64, now_ms: u64) -> bool {
-        now_ms as f64 + self.service_ms.unwrap_or(0.0) < deadline_ms as f64
+        let service_ms = self.service.map_or(0.0, ServiceTime::most_ms);
+        now_ms as f64 + service_ms < deadline_ms as f64
     }
 
     /// Takes in a request that finds no room.
--- a/crates/kernel/src/concurrency_limit.rs
+++ b/crates/kernel/src/concurrency_limit.rs
@@ -45,24 +45,37 @@
         self.limit as u32
     }
 
-    /// How many requests this one of so many instances may have there.
-    pub fn allowance(&self, load: &LoadView, instances: u32) -> u32 {
+    /// How many requests this one of so many instances may have there. Shares are not whole
+    /// numbers: `dither`, drawn from 0 to 1 for each report, rounds them so that together they
+    /// are about the limit.
+    pub fn allowance(&self, load: &LoadView, instances: u32, dither: f64) -> u32 {
+        self.share(load, f64::from(instances.max(1)), dither, 1.0)
+    }
+
+    /// Whether this instance may send one more.
+    pub fn has_room(&self, load: &LoadView, instances: u32, dither: f64) -> bool {
+        load.own < self.allowance(load, instances, dither)
+    }
+
+    /// Whether this instance may send one more that gains much from this upstream. Few instances
+    /// have such a request at a time, so each may take more of the room at once.
+    pub fn has_affinity_room(&self, load: &LoadView, instances: u32, dither: f64) -> bool {
         let instances = f64::from(instances.max(1));
-        let fair = (self.limit / instances).max(1.0);
+        load.own < self.share(load, instances, dither, instances.sqrt())
+    }
+
+    fn share(&self, load: &LoadView, instances: f64, dither: f64, boost: f64) -> u32 {
+        let fair = self.limit / instances;
+        let round = |share: f64| (share + dither).floor().max(1.0) as u32;
         let Some(reported) = load.reported.map(f64::from) else {
-            return fair as u32;
+            return round(fair);
         };
         let own = f64::from(load.own_reported);
         let allowed = match self.limit >= reported {
-            true => own + (self.limit - reported) / instances,
+            true => own + (self.limit - reported) / instances * boost,
             false => own * self.limit / reported,
         };
-        allowed.max(fair) as u32
-    }
-
-    /// Whether this instance may send one more.
-    pub fn has_room(&self, load: &LoadView, instances: u32) -> bool {
-        load.own < self.allowance(load, instances)
+        round(allowed.max(fair))
     }
 }
 
--- a/crates/kernel/src/routing.rs
+++ b/crates/kernel/src/routing.rs
@@ -3,12 +3,16 @@
 use amaranth_wire::id::UpstreamId;
 use rand::RngExt;
 
-use crate::hashing::rendezvous_order;
+use crate::hashing::hash_bytes;
 
 /// Upstreams in the order of a prefix that are tried before affinity is given up.
 const AFFINITY_DEPTH: usize = 3;
 /// Most load of an upstream with affinity, as a multiple of the group's mean.
 const AFFINITY_BOUND: f64 = 1.25;
+/// Share of the places up to which affinity costs no wait.
+const AFFINITY_FREE: f64 = 1.0;
+/// Steps in which a doubling of the speed is rounded for affinity.
+const SPEED_STEPS: f64 = 2.0;
 
 /// What is known of one upstream when a request is routed.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,6 +21,8 @@
     pub upstream: UpstreamId,
     /// Whether it may get new work.
     pub available: bool,
+    /// Whether it may get new work that gains from its cache.
+    pub affine: bool,
     /// Requests that this instance has in flight there.
     pub in_flight: u32,
     /// Requests there from all instances, estimated.
@@ -28,11 +34,17 @@
 }
 
 impl UpstreamView {
-    /// Load per unit of capacity with one more request.
+    /// Share of the places that are taken with one more request. What is above one waits, the
+    /// longer the slower the upstream is.
     fn cost(&self) -> f64 {
-        f64::from(self.load + 1) / self.capacity()
+        let occupancy = f64::from(self.load + 1) / f64::from(self.slots.max(1));
+        match occupancy <= 1.0 {
+            true => occupancy,
+            false => 1.0 + (occupancy - 1.0) / self.speed,
+        }
     }
 
+    /// Work that it does in some time, compared with others.
     fn capacity(&self) -> f64 {
         f64::from(self.slots.max(1)) * self.speed
     }
@@ -148,19 +160,29 @@
 }
 
 fn preferred(views: &[UpstreamView], prefix: u64) -> Option<usize> {
-    let indexes = available_indexes(views);
+    let indexes: Vec<_> = (0..views.len())
+        .filter(|&index| views[index].affine)
+        .collect();
     let load: u32 = indexes.iter().map(|&index| views[index].load).sum();
-    let capacity: f64 = indexes.iter().map(|&index| views[index].capacity()).sum();
-    let mean = f64::from(load + 1) / capacity;
-    let candidates = views.iter().filter(|view| view.available);
-    let key = prefix.to_le_bytes();
-    let order = rendezvous_order(&key, candidates, |view| view.upstream.as_str());
-    let within = |view: &&&UpstreamView| {
-        let bound = mean * AFFINITY_BOUND * view.capacity();
-        f64::from(view.load) < bound.ceil()
-    };
-    let chosen = order.iter().take(AFFINITY_DEPTH).find(within)?;
-    views
-        .iter()
-        .position(|view| view.upstream == chosen.upstream)
+    let slots: u32 = indexes.iter().map(|&index| views[index].slots).sum();
+    let mean = f64::from(load + 1) / f64::from(slots.max(1));
+    let bound = (mean * AFFINITY_BOUND).max(AFFINITY_FREE);
+    let mut order: Vec<_> = indexes
+        .into_iter()
+        .map(|index| (affinity(&views[index], prefix), index))
+        .collect();
+    order.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let mut nearest = order.into_iter().take(AFFINITY_DEPTH);
+    nearest
+        .find(|&(_, index)| views[index].cost() <= bound)
+        .map(|(_, index)| index)
+}
+
+/// Weighted rendezvous: upstreams win prefixes in proportion to their capacity. Measured speeds
+/// are rounded, so that their noise moves few prefixes.
+fn affinity(view: &UpstreamView, prefix: u64) -> f64 {
+    let hash = hash_bytes(view.upstream.as_str().as_bytes(), prefix);
+    let draw = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    let speed = (view.speed.log2() * SPEED_STEPS).round() / SPEED_STEPS;
+    -f64::from(view.slots.max(1)) * speed.exp2() / draw.ln()
 }
--- a/crates/kernel/tests/admission.rs
+++ b/crates/kernel/tests/admission.rs
@@ -10,6 +10,8 @@
 use amaranth_wire::id::TeamId;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -140,6 +142,7 @@
         start in prop::collection::vec(0..60u32, 12),
     ) {
         let limit = ConcurrencyLimit::new(16);
+        let mut rng = StdRng::seed_from_u64(u64::from(start[0]));
         let mut trackers = vec![LoadTracker::new(16); instances];
         for (tracker, &own) in trackers.iter_mut().zip(&start) {
             (0..own).for_each(|_| tracker.start(0));
@@ -150,7 +153,8 @@
             let total = trackers.iter().map(LoadTracker::own).sum();
             for tracker in &mut trackers {
                 tracker.take_report(&load(now - 50, total), now);
-                let allowed = limit.allowance(&tracker.view(now, instances as u32), instances as u32);
+                let view = tracker.view(now, instances as u32);
+ let allowed = limit.allowance(&view, instances as u32, rng.random());
                 while tracker.own() < allowed {
                     tracker.start(now);
                 }
