--- a/crates/entry/src/operator_rows.rs
+++ b/crates/entry/src/operator_rows.rs
@@ -46,21 +46,22 @@
 }
 
 fn upstreams(context: &InstanceContext) -> Vec<QueryRow> {
-    let all = context.upstreams.all().into_iter();
-    all.map(|(group, upstream, address, in_flight)| {
-        let withheld = context.upstreams.is_withheld(&upstream);
-        let state = match (withheld, in_flight) {
+    let all = context.upstreams.all();
+    all.map(|(group, state)| {
+        let in_flight = state.in_flight();
+        let withheld = context.upstreams.is_withheld(&state.upstream);
+        let phase = match (withheld, in_flight) {
             (false, _) => "serving",
             (true, 0) => "drained",
             (true, _) => "draining",
         };
         row(json!({
             "instance": context.config.instance,
-            "upstream": upstream,
+            "upstream": state.upstream,
             "group": group,
-            "address": address.to_string(),
+            "address": state.address.to_string(),
             "in_flight": in_flight,
-            "state": state,
+            "state": phase,
         }))
     })
     .collect()
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,7 +10,7 @@
 use http::header::ALLOW;
 use volo_http::response::Response;
 use volo_http::server::Router;
-use volo_http::server::route::{MethodRouter, get, post};
+use volo_http::server::route::{MethodRouter, any, get, post};
 
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
@@ -50,7 +50,9 @@
     let content = get(handler(context, metered(files::content)));
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
+    let service = any(handler(context, metered(accept::service)));
     router
+        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
         .route("/v1/models", only(context, "GET", all_models))
