--- a/crates/entry/src/batch_view.rs
+++ b/crates/entry/src/batch_view.rs
@@ -136,34 +136,37 @@
     Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
-/// A job as batch clients expect it.
+/// A job of a team as batch clients expect it.
 pub fn view(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<Value> {
-    with_job(context, team, job, |state| {
-        let report = state.report(job);
-        let status = match report.phase {
-            JobPhase::InProgress => "in_progress",
-            JobPhase::Completed => "completed",
-            JobPhase::Cancelled => "cancelled",
-        };
-        let ended = report.phase != JobPhase::InProgress;
-        json!({
-            "id": job,
-            "object": "batch",
-            "endpoint": ITEM_ENDPOINT,
-            "status": status,
-            "input_file_id": files::input_name(job),
-            "output_file_id": ended.then(|| files::output_name(job)),
-            "error_file_id": null,
-            "completion_window": window(state),
-            "created_at": state.submitted_ms / 1_000,
-            "expires_at": state.deadline_ms / 1_000,
-            "request_counts": {
-                "total": report.total,
-                "completed": report.completed,
-                "failed": report.failed,
-            },
-            "tier": state.tier,
-        })
+    with_job(context, team, job, |state| job_json(job, state))
+}
+
+/// A job as batch clients expect it.
+pub fn job_json(job: &JobId, state: &JobState) -> Value {
+    let report = state.report(job);
+    let status = match report.phase {
+        JobPhase::InProgress => "in_progress",
+        JobPhase::Completed => "completed",
+        JobPhase::Cancelled => "cancelled",
+    };
+    let ended = report.phase != JobPhase::InProgress;
+    json!({
+        "id": job,
+        "object": "batch",
+        "endpoint": ITEM_ENDPOINT,
+        "status": status,
+        "input_file_id": files::input_name(job),
+        "output_file_id": ended.then(|| files::output_name(job)),
+        "error_file_id": null,
+        "completion_window": window(state),
+        "created_at": state.submitted_ms / 1_000,
+        "expires_at": state.deadline_ms / 1_000,
+        "request_counts": {
+            "total": report.total,
+            "completed": report.completed,
+            "failed": report.failed,
+        },
+        "tier": state.tier,
     })
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admit::AdmissionDesk;
 use crate::call_meter::CallMeter;
 use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
@@ -21,6 +22,7 @@
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
+use crate::request_board::RequestBoard;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -50,10 +52,14 @@
     pub callers: CallerKeys,
     /// Calls in progress.
     pub calls: CallMeter,
+    /// Online requests that wait for room.
+    pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
     /// When the other instances were last heard.
     pub sights: PeerSights,
+    /// Online requests, in progress and recent.
+    pub requests: RequestBoard,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -82,7 +88,9 @@
             calls: CallMeter::default(),
             members: MemberTable::default(),
             sights: PeerSights::default(),
+            requests: RequestBoard::default(),
             relay: LogRelay::default(),
+            admission: AdmissionDesk::new(&config.fleet),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -39,9 +39,9 @@
 
 /// Folds what a read gave.
 pub fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+    context.state.note_log_time(reply.now_ms);
     context.state.lose_before(reply.oldest);
     context.relay.note_read(reply);
-    context.state.note_log_time(reply.now_ms);
     reply
         .entries
         .iter()
--- a/crates/entry/src/operator_rows.rs
+++ b/crates/entry/src/operator_rows.rs
@@ -26,6 +26,9 @@
     source.map_or_else(Vec::new, |source| (source.rows)(context))
 }
 
+inventory::submit! { RowSource {
+    table: "requests", rows: |context| context.requests.rows(&context.config.instance),
+} }
 inventory::submit! { RowSource { table: "upstreams", rows: upstreams } }
 inventory::submit! { RowSource { table: "instances", rows: instances } }
 inventory::submit! { RowSource { table: "tiers", rows: tiers } }
@@ -46,22 +49,23 @@
 }
 
 fn upstreams(context: &InstanceContext) -> Vec<QueryRow> {
-    let all = context.upstreams.all().into_iter();
-    all.map(|(group, upstream, address, in_flight)| {
-        let withheld = context.upstreams.is_withheld(&upstream);
-        let sample = context.upstreams.sample(&upstream);
-        let state = match (withheld, in_flight) {
+    let all = context.upstreams.all();
+    all.map(|(group, state)| {
+        let in_flight = state.in_flight();
+        let withheld = context.upstreams.is_withheld(&state.upstream);
+        let sample = state.sample();
+        let phase = match (withheld, in_flight) {
             (false, _) => "serving",
             (true, 0) => "drained",
             (true, _) => "draining",
         };
         row(json!({
             "instance": context.config.instance,
-            "upstream": upstream,
+            "upstream": state.upstream,
             "group": group,
-            "address": address.to_string(),
+            "address": state.address.to_string(),
             "in_flight": in_flight,
-            "state": state,
+            "state": phase,
             "requests": sample.requests,
             "errors": sample.errors,
             "total_ms": sample.total_ms,
--- a/crates/entry/src/plan_health.rs
+++ b/crates/entry/src/plan_health.rs
@@ -40,9 +40,7 @@
             return None;
         }
         self.looked_ms = Some(now_ms);
-        let question = PeerQuestion {
-            table: Some("upstreams".to_owned()),
-        };
+        let question = PeerQuestion::new("upstreams");
         let answers = ask_all(context, &question).await;
         for peer in &answers.answered {
             self.add(plan, peer);
--- a/crates/entry/src/plan_lookup.rs
+++ b/crates/entry/src/plan_lookup.rs
@@ -67,9 +67,9 @@
 
 /// Address of an upstream, if the settings give one.
 pub fn engine_address(context: &InstanceContext, upstream: &UpstreamId) -> Option<SocketAddr> {
-    let all = context.upstreams.all().into_iter();
-    let mut found = all.filter(|(_, name, _, _)| name == upstream);
-    found.next().map(|(_, _, address, _)| address)
+    let mut all = context.upstreams.all();
+    let found = all.find(|(_, state)| state.upstream == *upstream);
+    found.map(|(_, state)| state.address)
 }
 
 /// The limits in force.
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,7 +10,7 @@
 use http::header::ALLOW;
 use volo_http::response::Response;
 use volo_http::server::Router;
-use volo_http::server::route::{MethodRouter, get, post};
+use volo_http::server::route::{MethodRouter, any, get, post};
 
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
@@ -23,6 +23,7 @@
 pub fn router(context: &Arc<InstanceContext>) -> Router {
     let router = caller_routes(context, Router::new());
     let router = operator_routes(context, router);
+    let router = peer_routes(context, router);
     router
         .route("/livez", only(context, "GET", get(handler(context, live))))
         .route(
@@ -49,7 +50,9 @@
     let content = get(handler(context, metered(files::content)));
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
+    let service = any(handler(context, metered(accept::service)));
     router
+        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
         .route("/v1/models", only(context, "GET", all_models))
@@ -63,25 +66,33 @@
         .route("/v1/batches/{id}/cancel", only(context, "POST", cancel))
 }
 
-/// Paths of operators and peers.
+/// Paths of operators.
 fn operator_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let instance = get(handler(context, metered(operator::instance)));
     let config = get(handler(context, metered(operator::show_config)));
     let config = config.post(handler(context, metered(operator::set_config)));
     let query = post(handler(context, metered(operator_query::query)));
     let command = post(handler(context, metered(operator_command::command)));
-    let decided = get(handler(context, metered(operator_command::ask_again)));
-    let entries = get(handler(context, log_relay::entries));
-    let changes = get(handler(context, log_relay::changes));
-    let rows = post(handler(context, operator_peers::answer_question));
-    let exchange = post(handler(context, gossip::handle));
+    let ask_again = get(handler(context, metered(operator_command::ask_again)));
     router
-        .route(GOSSIP_PATH, only(context, "POST", exchange))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
         .route("/v1/operator/query", only(context, "POST", query))
         .route("/v1/operator/command", only(context, "POST", command))
-        .route("/v1/operator/commands/{id}", only(context, "GET", decided))
+        .route(
+            "/v1/operator/commands/{id}",
+            only(context, "GET", ask_again),
+        )
+}
+
+/// Paths of peers.
+fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
+    let exchange = post(handler(context, gossip::handle));
+    let entries = get(handler(context, log_relay::entries));
+    let changes = get(handler(context, log_relay::changes));
+    let rows = post(handler(context, operator_peers::answer_question));
+    router
+        .route(GOSSIP_PATH, only(context, "POST", exchange))
         .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
         .route(log_relay::PEER_CHANGES_PATH, only(context, "GET", changes))
         .route(operator_peers::PEER_ROWS_PATH, only(context, "POST", rows))
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,66 +1,44 @@
-//! The upstreams of every group and what this instance has in flight there.
+//! The upstreams of every group, and the choice between them.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
 
+use amaranth_kernel::ejection;
 use amaranth_kernel::plugin::routing_policy;
-use amaranth_kernel::rollout::UpstreamSample;
-use amaranth_kernel::routing::{RoutingPolicy, UpstreamView};
-use amaranth_net::clock::steady_ms;
+use amaranth_kernel::retry::RetryBudget;
+use amaranth_kernel::routing::{RouteHint, RoutingPolicy, UpstreamView, measured_speeds};
+use amaranth_net::clock::unix_ms;
 use amaranth_settings::fleet::FleetSettings;
 use amaranth_settings::tier::TierSettings;
-use amaranth_settings::upstream::UpstreamKind;
-use amaranth_wire::id::UpstreamId;
+use amaranth_settings::upstream::{UpstreamGroup, UpstreamKind};
+use amaranth_wire::id::{TierId, UpstreamId};
+use tokio::sync::Notify;
 
-/// The routing policy that is used unless settings name another.
-const DEFAULT_POLICY: &str = "two_choices";
-
-/// One upstream with its counters.
-#[derive(Debug)]
-pub struct UpstreamState {
-    /// Its name.
-    pub upstream: UpstreamId,
-    /// Its address.
-    pub address: SocketAddr,
-    speed: f64,
-    in_flight: AtomicU32,
-    requests: AtomicU64,
-    errors: AtomicU64,
-    total_ms: AtomicU64,
-}
-
-/// Counts one request at an upstream for as long as it lives.
-pub struct InFlightGuard {
-    state: Arc<UpstreamState>,
-    started_ms: u64,
-    failed: AtomicBool,
-}
+pub use crate::upstream_state::{InFlightGuard, UpstreamState};
 
-impl InFlightGuard {
-    /// Where the request is.
-    pub fn upstream(&self) -> &UpstreamState {
-        &self.state
-    }
+/// The routing policy that is used when the settings' is not known.
+const DEFAULT_POLICY: &str = "two_choices";
 
-    /// Notes that the upstream failed the request.
-    pub fn note_failure(&self) {
-        self.failed.store(true, Ordering::Relaxed);
-    }
+/// What is asked of a choice.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PickRules<'a> {
+    /// Upstreams that may not be chosen.
+    pub excluded: &'a [UpstreamId],
+    /// Hash of the start of the prompt.
+    pub prefix: Option<u64>,
+    /// Whether only upstreams with room in this instance's share may be chosen.
+    pub with_room: bool,
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let took_ms = steady_ms().saturating_sub(self.started_ms);
-        let failed = *self.failed.get_mut();
-        self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
-        self.state.requests.fetch_add(1, Ordering::Relaxed);
-        self.state
-            .errors
-            .fetch_add(u64::from(failed), Ordering::Relaxed);
-        self.state.total_ms.fetch_add(took_ms, Ordering::Relaxed);
-    }
+/// The result of a choice.
+pub enum PickResult {
+    /// An upstream, with the request counted there.
+    Picked(InFlightGuard),
+    /// Some could take it, but none has room now.
+    Full,
+    /// None can take it.
+    Unavailable,
 }
 
 /// The upstreams by group.
@@ -70,31 +48,40 @@
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
     withheld: RwLock<HashSet<UpstreamId>>,
+    instances: AtomicU32,
+    budgets: HashMap<TierId, Mutex<RetryBudget>>,
+    room: Arc<Notify>,
 }
 
 impl UpstreamTable {
     /// The upstreams that the settings give addresses for.
     pub fn new(fleet: &FleetSettings) -> Self {
-        let groups = fleet.upstreams.iter().map(|group| {
-            let upstreams = group.upstreams().into_iter().filter_map(|settings| {
-                Some(Arc::new(UpstreamState {
-                    address: settings.address?,
-                    upstream: settings.upstream,
-                    speed: settings.speed,
-                    in_flight: AtomicU32::new(0),
-                    requests: AtomicU64::new(0),
-                    errors: AtomicU64::new(0),
-                    total_ms: AtomicU64::new(0),
-                }))
-            });
-            (group.name.clone(), upstreams.collect())
-        });
+        let room = Arc::new(Notify::new());
+        let groups = fleet.upstreams.iter();
+        let groups = groups.map(|group| (group.name.clone(), group_states(group, &room)));
+        let policy = routing_policy(&fleet.routing).or_else(|| routing_policy(DEFAULT_POLICY));
         Self {
             groups: groups.collect(),
             tier_of_model: models(fleet),
-            policy: routing_policy(DEFAULT_POLICY).expect("the default policy is registered"),
+            policy: policy.expect("the default policy is registered"),
             counter: AtomicU64::new(0),
             withheld: RwLock::new(HashSet::new()),
+            instances: AtomicU32::new(fleet.instances.len().max(1) as u32),
+            budgets: budgets(fleet),
+            room,
+        }
+    }
+
+    /// Notes a new request of a tier.
+    pub fn note_request(&self, tier: &TierId) {
+        self.with_budget(tier, RetryBudget::add_request);
+    }
+
+    /// Does something with the retry budget of a tier.
+    pub fn with_budget<T>(&self, tier: &TierId, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        match self.budgets.get(tier) {
+            Some(budget) => act(&mut budget.lock().expect("not poisoned")),
+            None => act(&mut RetryBudget::new()),
         }
     }
 
@@ -109,65 +96,113 @@
         withheld.contains(upstream)
     }
 
-    /// Every upstream with its group and what this instance has in flight there.
-    pub fn all(&self) -> Vec<(String, UpstreamId, SocketAddr, u32)> {
+    /// The first tier that serves this model.
+    pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
+        self.tier_of_model.get(model)
+    }
+
+    /// The upstreams of a group.
+    pub fn group(&self, group: &str) -> &[Arc<UpstreamState>] {
+        self.groups.get(group).map_or(&[], Vec::as_slice)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
         let groups = self.groups.iter();
-        let rows = groups.flat_map(|(group, upstreams)| {
-            upstreams.iter().map(|state| {
-                let in_flight = state.in_flight.load(Ordering::Relaxed);
-                (
-                    group.clone(),
-                    state.upstream.clone(),
-                    state.address,
-                    in_flight,
-                )
-            })
-        });
-        rows.collect()
+        groups.flat_map(|(name, states)| states.iter().map(move |state| (name.as_str(), state)))
     }
 
-    /// What the requests to an upstream came to, from this instance.
-    pub fn sample(&self, upstream: &UpstreamId) -> UpstreamSample {
-        let mut states = self.groups.values().flatten();
-        let state = states.find(|state| state.upstream == *upstream);
-        state.map_or_else(UpstreamSample::default, |state| UpstreamSample {
-            requests: state.requests.load(Ordering::Relaxed),
-            errors: state.errors.load(Ordering::Relaxed),
-            total_ms: state.total_ms.load(Ordering::Relaxed),
-        })
+    /// Notes how many instances share the upstreams.
+    pub fn set_instances(&self, instances: usize) {
+        let instances = instances.max(1) as u32;
+        self.instances.store(instances, Ordering::Relaxed);
     }
 
-    /// The first tier that serves this model.
-    pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
-        self.tier_of_model.get(model)
+    /// Waits until there may be room that was not there before.
+    pub async fn room_changed(&self) {
+        self.room.notified().await;
     }
 
     /// Picks an upstream of a group, leaving out some, and counts a request there.
     pub fn pick(&self, group: &str, excluded: &[UpstreamId]) -> Option<InFlightGuard> {
-        let upstreams = self.groups.get(group)?;
+        let rules = PickRules {
+            excluded,
+            ..PickRules::default()
+        };
+        match self.pick_by(group, rules) {
+            PickResult::Picked(guard) => Some(guard),
+            PickResult::Full | PickResult::Unavailable => None,
+        }
+    }
+
+    /// Picks an upstream of a group by some rules, and counts a request there.
+    pub fn pick_by(&self, group: &str, rules: PickRules<'_>) -> PickResult {
+        let states = self.group(group);
+        let views = self.views(states, rules);
+        if !views.iter().any(|(_, open)| *open) {
+            return PickResult::Unavailable;
+        }
+        let views: Vec<_> = views.into_iter().map(|(view, _)| view).collect();
+        let hint = RouteHint {
+            counter: self.counter.fetch_add(1, Ordering::Relaxed),
+            prefix: rules.prefix,
+        };
+        match (self.policy.pick)(&views, hint, &mut rand::rng()) {
+            Some(index) => PickResult::Picked(InFlightGuard::new(states[index].clone())),
+            None => PickResult::Full,
+        }
+    }
+
+    /// What is known of some upstreams, and whether they take work at all, room or not.
+    fn views(
+        &self,
+        states: &[Arc<UpstreamState>],
+        rules: PickRules<'_>,
+    ) -> Vec<(UpstreamView, bool)> {
+        let now_ms = unix_ms();
         let withheld = self.withheld.read().expect("not poisoned");
-        let views: Vec<_> = upstreams
+        let instances = self.instances.load(Ordering::Relaxed);
+        let snapshots: Vec<_> = states
             .iter()
-            .map(|state| UpstreamView {
-                upstream: state.upstream.clone(),
-                available: !excluded.contains(&state.upstream)
-                    && !withheld.contains(&state.upstream),
-                in_flight: state.in_flight.load(Ordering::Relaxed),
-                speed: state.speed,
-            })
+            .map(|state| state.snapshot(now_ms, instances))
             .collect();
-        let counter = self.counter.fetch_add(1, Ordering::Relaxed);
-        let index = (self.policy.pick)(&views, counter, &mut rand::rng())?;
-        let picked = upstreams[index].clone();
-        picked.in_flight.fetch_add(1, Ordering::Relaxed);
-        Some(InFlightGuard {
-            state: picked,
-            started_ms: steady_ms(),
-            failed: AtomicBool::new(false),
-        })
+        let healths: Vec<_> = snapshots.iter().map(|snapshot| snapshot.health).collect();
+        let healthy = ejection::available(&healths, now_ms);
+        let settings: Vec<_> = states.iter().map(|state| state.speed).collect();
+        let steps: Vec<_> = snapshots.iter().map(|s| s.load.step_us).collect();
+        let speeds = measured_speeds(&settings, &steps);
+        let view = |index: usize| {
+            let (state, snapshot) = (&states[index], &snapshots[index]);
+            let excluded = rules.excluded.contains(&state.upstream);
+            let withheld = withheld.contains(&state.upstream);
+            let open = healthy[index] && !snapshot.leaving && !excluded && !withheld;
+            let view = UpstreamView {
+                upstream: state.upstream.clone(),
+                available: open && (snapshot.has_room || !rules.with_room),
+                affine: open && (snapshot.has_affinity_room || !rules.with_room),
+                in_flight: snapshot.load.own,
+                load: snapshot.load.total,
+                slots: snapshot.load.slots,
+                speed: speeds[index],
+            };
+            (view, open)
+        };
+        (0..states.len()).map(view).collect()
     }
 }
 
+fn group_states(group: &UpstreamGroup, room: &Arc<Notify>) -> Vec<Arc<UpstreamState>> {
+    let upstreams = group.upstreams().into_iter();
+    let states =
+        upstreams.filter_map(|settings| UpstreamState::new(settings, group.slots, room.clone()));
+    states.map(Arc::new).collect()
+}
+
+fn budgets(fleet: &FleetSettings) -> HashMap<TierId, Mutex<RetryBudget>> {
+    let budget = |tier: &TierSettings| (tier.name.clone(), Mutex::new(RetryBudget::new()));
+    fleet.tiers.iter().map(budget).collect()
+}
+
 fn models(fleet: &FleetSettings) -> HashMap<String, TierSettings> {
     let mut models = HashMap::new();
     for tier in &fleet.tiers {
