--- a/crates/entry/src/plan_health.rs
+++ b/crates/entry/src/plan_health.rs
@@ -23,7 +23,7 @@
     looked_ms: Option<u64>,
     last: SampleTable,
     old: UpstreamSample,
-    new: UpstreamSample,
+    new: HashMap<UpstreamId, UpstreamSample>,
 }
 
 impl HealthWatch {
@@ -45,9 +45,15 @@
         for peer in &answers.answered {
             self.add(plan, peer);
         }
+        log::debug!("event=rollout_judged old={:?} new={:?}", self.old, self.new);
         let config = context.state.config();
         let percent = config.number("plan.error_percent");
-        judge(self.old, self.new, percent.unwrap_or(DEFAULT_ERROR_PERCENT))
+        let percent = percent.unwrap_or(DEFAULT_ERROR_PERCENT);
+        let mut samples = self.new.iter();
+        samples.find_map(|(upstream, new)| {
+            let reason = judge(self.old, *new, percent)?;
+            Some(format!("{upstream}: {reason}"))
+        })
     }
 
     /// Adds what an instance counted since the last look. The first look only sets the base.
@@ -66,14 +72,17 @@
                 errors: number("errors"),
                 total_ms: number("total_ms"),
             };
-            let key = (peer.instance.clone(), upstream);
+            let key = (peer.instance.clone(), upstream.clone());
             let Some(before) = self.last.insert(key, now) else {
                 continue;
             };
             let grown = now.since(before);
             match phase {
                 StepPhase::Waiting => self.old = self.old.plus(grown),
-                StepPhase::Finished { .. } => self.new = self.new.plus(grown),
+                StepPhase::Finished { .. } => {
+                    let sample = self.new.entry(upstream).or_default();
+                    *sample = sample.plus(grown);
+                }
                 StepPhase::Started { .. } | StepPhase::Restored { .. } => {}
             }
         }
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -30,6 +30,8 @@
 
 /// First status that an upstream answers for its own faults.
 const FIRST_FAULT_STATUS: u16 = 500;
+/// Status of a refusal for want of room.
+const BUSY_STATUS: u16 = 503;
 /// Status of a call that is to be repeated later.
 const TOO_MANY_REQUESTS: u16 = 429;
 
@@ -248,7 +250,12 @@
         self.progress.may_have_run |= !not_run;
         match body {
             Err(failure) => AttemptEnd::Failed(failure),
-            Ok(_) if not_run => AttemptEnd::Failed(AttemptFailure::NotRun),
+            Ok(_) if not_run => {
+                if let Some(current) = self.current.as_ref().filter(|_| !wants_room(status)) {
+                    current.guard.note_error();
+                }
+                AttemptEnd::Failed(AttemptFailure::NotRun)
+            }
             Ok(_) if status >= FIRST_FAULT_STATUS => {
                 self.note_failure();
                 AttemptEnd::Failed(AttemptFailure::Broken)
@@ -368,3 +375,8 @@
         _ => "no upstream gave a whole answer",
     }
 }
+
+/// Whether a status refuses for want of room only.
+fn wants_room(status: u16) -> bool {
+    status == BUSY_STATUS || status == TOO_MANY_REQUESTS
+}
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -158,9 +158,14 @@
         &self.state
     }
 
+    /// Notes an answer that counts against the upstream's version, though not its health.
+    pub fn note_error(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+    }
+
     /// Notes that the upstream failed the request.
     pub fn note_failure(&self) {
-        self.failed.store(true, Ordering::Relaxed);
+        self.note_error();
         self.state.note_failure();
     }
 }
--- a/crates/kernel/src/rollout.rs
+++ b/crates/kernel/src/rollout.rs
@@ -370,20 +370,26 @@
     }
 }
 
-/// Requests below which nothing is judged.
+/// Requests below which nothing is judged, unless most of them fail.
 const JUDGED_REQUESTS: u64 = 20;
+/// Failures that are judged however few requests there are; routing soon spares an engine that
+/// fails, so that no more may come.
+const JUDGED_FAILURES: u64 = 3;
+/// Share of failures, in percent, from which few requests are enough.
+const MOST_PERCENT: u64 = 50;
 /// How many times slower requests may get.
 const SLOWER_LIMIT: u64 = 2;
 /// Mean times below this are not compared, in milliseconds.
 const COMPARED_MS: u64 = 5;
 
-/// Why the engines at the new version do worse than those at the old one, if they do. Both
+/// Why an engine at the new version does worse than those at the old one, if it does. Both
 /// samples are of the same time.
 pub fn judge(old: UpstreamSample, new: UpstreamSample, error_percent: u64) -> Option<String> {
-    if new.requests < JUDGED_REQUESTS {
+    let share = new.errors * 100 / new.requests.max(1);
+    let most_fail = new.errors >= JUDGED_FAILURES && share >= MOST_PERCENT;
+    if new.requests < JUDGED_REQUESTS && !most_fail {
         return None;
     }
-    let share = new.errors * 100 / new.requests;
     let usual = old.errors * 100 / old.requests.max(1);
     if share >= error_percent && share > 2 * usual {
         return Some(format!(
