Carry what lasts past the log's retention, and start from state

An instance whose next entry the log had dropped met a gap for ever: after one retention period no instance could start again, and items, results and settings were gone with their entries. Jobs were never forgotten either.

A carrier copies pieces and results older than half of the measured retention and writes the whole folded state when the last one is older than a quarter. An instance that misses entries, or starts while the log is down, takes the newest state of some peers, else the newest whole one on the log, and folds on from its offset. Ended jobs are forgotten after 24 h of the log's clock. An item whose input the log has dropped ends as failed instead of being read for ever.

Ruled out: appending copies at the end and dropping the originals. The property copies_read_as_the_originals found that an item with a second, ignored result then changed its answer from 422 to 200; copies now take the place of the originals in the order of acceptance.

Shown failing first, by breaking the mechanism: - no carrier: what_lasts_outlives_the_log_and_every_instance, "no such batch" until patience ran out; - pieces not copied: a_job_may_run_longer_than_the_log_keeps_its_items (after the test was made to read through an instance that had nothing cached; before that it passed); - no state from peers: an_instance_that_starts_in_an_outage_takes_state never became ready; - copies appended at the end: copies_read_as_the_originals; - older states forgotten with the newest: the_newest_whole_state_is_found. All pass with the mechanisms in place, on a log that keeps 8 s.

--- a/crates/entry/src/commit_queue.rs
+++ b/crates/entry/src/commit_queue.rs
@@ -29,7 +29,12 @@
 impl CommitLane {
     fn of(records: &[LogRecord]) -> Self {
         match records.first() {
-            Some(LogRecord::JobItems { .. }) => Self::Items,
+            Some(
+                LogRecord::JobItems { .. }
+                | LogRecord::ItemsCarried { .. }
+                | LogRecord::ResultsCarried { .. }
+                | LogRecord::StateCheckpoint { .. },
+            ) => Self::Items,
             Some(LogRecord::ItemsFinished { .. }) => Self::Results,
             _ => Self::Control,
         }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -81,6 +81,11 @@
         self.caught_up.store(true, Ordering::Release);
     }
 
+    /// Whether the log was folded to its head once, or state was taken from a peer that did.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire)
+    }
+
     /// Notes that a planned stop has begun.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -5,11 +5,13 @@
 
 use amaranth_kernel::cursor::EntryVerdict;
 use amaranth_net::telemetry::quote;
+use amaranth_wire::id::LogOffset;
 use amaranth_wire::platform::{RawEntry, ReadReply};
 use amaranth_wire::record::{BatchEntry, RecordBatch};
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
+use crate::state_source;
 
 /// Wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -26,22 +28,41 @@
     loop {
         let from = context.state.folded();
         match context.log.follow(from).await {
+            Ok(reply) if reply.oldest > from => recover(context, reply.oldest).await,
             Ok(reply) => fold_reply(context, &reply),
             Err(e) => {
                 log::debug!("event=log_read_failed error={}", quote(&e.to_string()));
+                start_from_peers(context).await;
                 sleep(RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// Gets the state from elsewhere when the log has dropped entries that were not folded.
+async fn recover(context: &InstanceContext, oldest: LogOffset) {
+    let from = context.state.folded();
+    log::warn!("event=log_gap folded={from} oldest={oldest}");
+    if !state_source::take_from_peers(context).await || context.state.folded() < oldest {
+        state_source::take_from_log(context, oldest).await;
+    }
+}
+
+/// Lets an instance that starts while the log is down serve from its peers' state.
+async fn start_from_peers(context: &InstanceContext) {
+    if !context.has_caught_up() && state_source::take_from_peers(context).await {
+        context.set_caught_up();
+    }
+}
+
 fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
     context.state.note_log_time(reply.now_ms);
+    context.state.note_oldest(reply.oldest);
     reply
         .entries
         .iter()
         .for_each(|entry| fold_entry(context, entry));
-    if context.state.folded() >= reply.head && !context.is_ready() {
+    if context.state.folded() >= reply.head {
         context.set_caught_up();
     }
 }
--- a/crates/entry/src/item_reader.rs
+++ b/crates/entry/src/item_reader.rs
@@ -52,6 +52,12 @@
                 upload,
                 first,
                 items,
+            }
+            | LogRecord::ItemsCarried {
+                job,
+                upload,
+                first,
+                items,
             } if *job == piece.job && *upload == piece.upload && *first == piece.range.first => {
                 let position = |index: u32| index.saturating_sub(*first) as usize;
                 items.get(position(indexes.start)..position(indexes.end))
@@ -74,6 +80,9 @@
         let outcomes = records.filter_map(|record| match record {
             LogRecord::ItemsFinished {
                 job: j, outcomes, ..
+            }
+            | LogRecord::ResultsCarried {
+                job: j, outcomes, ..
             } if j == job => Some(outcomes),
             _ => None,
         });
@@ -88,8 +97,12 @@
         let unavailable = |message: String| CallError::new(ErrorKind::LogUnavailable, message);
         let reply = self.log.read_now(offset, 1).await;
         let reply = reply.map_err(|e| unavailable(e.to_string()))?;
+        if reply.oldest > offset {
+            let message = format!("entry {offset} is no longer on the log");
+            return Err(CallError::new(ErrorKind::Internal, message));
+        }
         let entry = reply.entries.into_iter().find(|e| e.offset == offset);
-        let entry = entry.ok_or_else(|| unavailable(format!("entry {offset} is gone")))?;
+        let entry = entry.ok_or_else(|| unavailable(format!("entry {offset} was not sent")))?;
         let batch = RecordBatch::decode(&entry.bytes)
             .map_err(|e| CallError::new(ErrorKind::Internal, e.to_string()))?;
         Ok(self.keep(offset, batch))
--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -85,6 +85,7 @@
 ) -> Option<ItemOutcome> {
     let body = match read_item(context, task).await {
         Ok(body) => body,
+        Err(e) if e.kind == ErrorKind::Internal => return Some(failure(task, 0, &e)),
         Err(e) => {
             let (job, error) = (&task.piece.job, quote(&e.message));
             log::warn!("event=item_unreadable job={job} error={error}");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accept;
 pub mod batch_intake;
 pub mod batch_view;
+pub mod carrier;
 pub mod cli;
 pub mod commit_queue;
 pub mod committer;
@@ -23,4 +24,5 @@
 pub mod running_items;
 pub mod shard_preference;
 pub mod shared_state;
+pub mod state_source;
 pub mod upstream_table;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,7 +15,7 @@
 use crate::context::InstanceContext;
 use crate::log_client::LogClient;
 use crate::shared_state::SharedState;
-use crate::{follower, membership, owner, routes};
+use crate::{carrier, follower, membership, owner, routes};
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
 const NOTICE_PERIOD: Duration = Duration::from_secs(2);
@@ -48,6 +48,7 @@
     tokio::spawn(follower::run(context.clone()));
     tokio::spawn(membership::run(context.clone(), address));
     tokio::spawn(owner::run(context.clone()));
+    tokio::spawn(carrier::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
     Ok(RunningInstance { context, address })
 }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,7 +10,7 @@
 use volo_http::server::route::{any, get, post};
 
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, operator};
+use crate::{accept, batch_intake, batch_view, operator, state_source};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
@@ -33,6 +33,10 @@
             "/v1/batches/{id}/cancel",
             post(handler(context, batch_view::cancel)),
         )
+        .route(
+            state_source::STATE_PATH,
+            get(handler(context, state_source::hand_over)),
+        )
         .route(
             "/v1/operator/instance",
             get(handler(context, operator::instance)),
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -1,5 +1,6 @@
 //! State folded from the log, in parts with a lock each.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -8,12 +9,17 @@
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
 use amaranth_kernel::log_clock::LogClock;
+use amaranth_kernel::retention::{CheckpointName, CheckpointParts, OffsetTimes, RetentionView};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{BatchEntry, LogRecord};
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+/// Entries between two looks for jobs that ended long ago.
+const FORGET_EVERY: u64 = 1_024;
+
 /// The last batch of this process that was folded.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnMark {
@@ -33,8 +39,27 @@
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
     clock: Mutex<LogClock>,
+    times: Mutex<OffsetTimes>,
+    oldest: AtomicU64,
+    checkpoints: Mutex<CheckpointParts>,
+}
+
+/// The folded state as it is written to the log and handed to peers. Every fold belongs here: an
+/// instance that starts from an image never reads what lies before it.
+#[derive(Serialize, Deserialize)]
+struct StateImage<C, T, J, L, F> {
+    cursor: C,
+    times: T,
+    jobs: J,
+    leases: L,
+    config: F,
 }
 
+type OwnedImage = StateImage<FoldCursor, OffsetTimes, Vec<JobLedger>, LeaseTable, ConfigState>;
+
+/// Result of taking over an image.
+pub type Result<T> = std::result::Result<T, rmp_serde::decode::Error>;
+
 impl SharedState {
     /// The state before the first entry.
     pub fn new(writer: WriterId) -> Self {
@@ -48,6 +73,9 @@
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
             clock: Mutex::new(LogClock::default()),
+            times: Mutex::new(OffsetTimes::default()),
+            oldest: AtomicU64::new(0),
+            checkpoints: Mutex::new(CheckpointParts::default()),
         }
     }
 
@@ -61,7 +89,11 @@
                 .iter()
                 .for_each(|record| self.apply(entry.offset, entry.time_ms, record));
             self.note_own(entry);
+            self.note_checkpoints(entry);
+            self.forget_ended(entry);
         }
+        let mut times = self.times.lock().expect("not poisoned");
+        times.note(entry.offset, entry.time_ms);
         self.folded.send_replace(cursor.next());
         verdict
     }
@@ -90,6 +122,79 @@
         self.own.subscribe()
     }
 
+    /// The folded state and the offset up to which it goes.
+    pub fn image(&self) -> (LogOffset, Vec<u8>) {
+        // Folds hold the cursor, so nothing changes while it is held here.
+        let cursor = self.cursor.lock().expect("not poisoned");
+        let lock = |ledger: &Mutex<JobLedger>| ledger.lock().expect("not poisoned").clone();
+        let image = StateImage {
+            cursor: &*cursor,
+            times: self.times.lock().expect("not poisoned").clone(),
+            jobs: self.jobs.iter().map(lock).collect::<Vec<_>>(),
+            leases: &*self.leases(),
+            config: &*self.config(),
+        };
+        let bytes = rmp_serde::to_vec_named(&image).expect("images always encode");
+        (cursor.next(), bytes)
+    }
+
+    /// Takes over an image in place of what was folded. An older one changes nothing.
+    pub fn restore(&self, bytes: &[u8]) -> Result<()> {
+        let image: OwnedImage = rmp_serde::from_slice(bytes)?;
+        let mut cursor = self.cursor.lock().expect("not poisoned");
+        if image.cursor.next() <= cursor.next() {
+            return Ok(());
+        }
+        *cursor = image.cursor;
+        if let Some((sequence, offset)) = cursor.last_of(self.writer) {
+            self.own.send_replace(OwnMark { sequence, offset });
+        }
+        *self.times.lock().expect("not poisoned") = image.times;
+        for (shard, ledger) in self.jobs.iter().zip(image.jobs) {
+            *shard.lock().expect("not poisoned") = ledger;
+        }
+        *self.leases.write().expect("not poisoned") = image.leases;
+        *self.config.write().expect("not poisoned") = image.config;
+        self.folded.send_replace(cursor.next());
+        Ok(())
+    }
+
+    /// Goes on from an offset although entries before it were never folded.
+    pub fn skip_to(&self, offset: LogOffset) {
+        let mut cursor = self.cursor.lock().expect("not poisoned");
+        cursor.skip_to(offset);
+        self.folded.send_replace(cursor.next());
+    }
+
+    /// Notes the oldest entry that the log still has.
+    pub fn note_oldest(&self, oldest: LogOffset) {
+        self.oldest.store(oldest.0, Ordering::Relaxed);
+        let mut times = self.times.lock().expect("not poisoned");
+        times.forget_before(oldest);
+    }
+
+    /// How long the log keeps entries; `None` before its clock is known.
+    pub fn retention(&self, configured_ms: u64) -> Option<RetentionView> {
+        let oldest = LogOffset(self.oldest.load(Ordering::Relaxed));
+        Some(RetentionView {
+            now_ms: self.log_now_ms()?,
+            configured_ms,
+            oldest,
+            oldest_ms: self.time_of(oldest),
+        })
+    }
+
+    /// A time not after that of an entry, Unix milliseconds by the log's clock.
+    pub fn time_of(&self, offset: LogOffset) -> u64 {
+        self.times.lock().expect("not poisoned").time_of(offset)
+    }
+
+    /// The first offset that the newest state on the log does not cover.
+    pub fn last_checkpoint(&self) -> Option<LogOffset> {
+        let parts = self.checkpoints.lock().expect("not poisoned");
+        parts.latest().map(|(name, _)| name.as_of)
+    }
+
     /// Takes the log's clock from an answer that just arrived.
     pub fn note_log_time(&self, log_ms: u64) {
         let mut clock = self.clock.lock().expect("not poisoned");
@@ -127,12 +232,38 @@
         self.shard(shard_of(job))
     }
 
+    fn forget_ended(&self, entry: &BatchEntry) {
+        if entry.offset.0.is_multiple_of(FORGET_EVERY) {
+            let ledgers = self.jobs.iter();
+            ledgers.for_each(|l| l.lock().expect("not poisoned").forget_ended(entry.time_ms));
+        }
+    }
+
+    fn note_checkpoints(&self, entry: &BatchEntry) {
+        for record in &entry.batch.records {
+            if let LogRecord::StateCheckpoint {
+                as_of, part, parts, ..
+            } = record
+            {
+                let name = CheckpointName {
+                    as_of: *as_of,
+                    writer: entry.batch.writer,
+                };
+                let mut gathered = self.checkpoints.lock().expect("not poisoned");
+                gathered.add(name, *part, *parts, &[]);
+            }
+        }
+    }
+
     fn apply(&self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
         match record {
+            LogRecord::StateCheckpoint { .. } => {}
             LogRecord::JobItems { job, .. }
             | LogRecord::JobSealed { job, .. }
             | LogRecord::ItemsFinished { job, .. }
-            | LogRecord::JobCancelled { job, .. } => {
+            | LogRecord::JobCancelled { job, .. }
+            | LogRecord::ItemsCarried { job, .. }
+            | LogRecord::ResultsCarried { job, .. } => {
                 self.shard_for(job).apply(offset, time_ms, record);
             }
             LogRecord::LeaseClaimed { .. }
--- a/crates/kernel/src/bitmap.rs
+++ b/crates/kernel/src/bitmap.rs
@@ -1,10 +1,12 @@
 //! A fixed-size set of item indexes, one bit each.
 
+use serde::{Deserialize, Serialize};
+
 /// Bits in one word.
 const WORD_BITS: u32 = 64;
 
 /// A set over `0..len`.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemBitmap {
     words: Vec<u64>,
     len: u32,
@@ -50,6 +52,9 @@
 
     /// The indexes that are not in the set, in order.
     pub fn missing(&self) -> impl Iterator<Item = u32> + '_ {
-        (0..self.len).filter(|&index| !self.contains(index))
+        let words = (0..).zip(&self.words);
+        let open = words.filter(|(_, bits)| **bits != u64::MAX);
+        let indexes = open.flat_map(|(word, _)| word * WORD_BITS..(word + 1) * WORD_BITS);
+        indexes.filter(|&index| index < self.len && !self.contains(index))
     }
 }
--- a/crates/kernel/src/config_state.rs
+++ b/crates/kernel/src/config_state.rs
@@ -4,12 +4,13 @@
 
 use amaranth_wire::id::{CommandId, ConfigRevision, LogOffset};
 use amaranth_wire::record::LogRecord;
+use serde::{Deserialize, Serialize};
 
 /// How many decided commands are remembered.
 const DECISION_LIMIT: usize = 4_096;
 
 /// What the fold decided on a proposal.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigDecision {
     /// In force as this revision.
     Accepted(ConfigRevision),
@@ -23,7 +24,7 @@
 }
 
 /// A setting in force.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigValue {
     /// The value.
     pub value: serde_json::Value,
@@ -36,7 +37,7 @@
 }
 
 /// Configuration in force, and what became of recent proposals.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
     revision: ConfigRevision,
     values: BTreeMap<String, ConfigValue>,
--- a/crates/kernel/src/cursor.rs
+++ b/crates/kernel/src/cursor.rs
@@ -4,6 +4,7 @@
 
 use amaranth_wire::id::{LogOffset, WriterId};
 use amaranth_wire::record::BatchEntry;
+use serde::{Deserialize, Serialize};
 
 /// How long a silent writer's last sequence number is remembered, in milliseconds of the log's
 /// clock. Longer than any writer keeps resending one batch.
@@ -24,14 +25,15 @@
     Gap,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct WriterMark {
     sequence: u64,
+    offset: LogOffset,
     time_ms: u64,
 }
 
 /// Where the fold stands.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FoldCursor {
     next: LogOffset,
     writers: HashMap<WriterId, WriterMark>,
@@ -51,6 +53,12 @@
         self.next
     }
 
+    /// The last batch of a writer that counts: its sequence number and where it stands.
+    pub fn last_of(&self, writer: WriterId) -> Option<(u64, LogOffset)> {
+        let mark = self.writers.get(&writer)?;
+        Some((mark.sequence, mark.offset))
+    }
+
     /// Moves over an entry that is not a batch.
     pub fn skip(&mut self, offset: LogOffset) {
         if offset == self.next {
@@ -58,6 +66,11 @@
         }
     }
 
+    /// Moves on to an offset although entries before it were not folded.
+    pub fn skip_to(&mut self, offset: LogOffset) {
+        self.next = self.next.max(offset);
+    }
+
     /// Judges an entry and moves over it unless entries are missing before it.
     pub fn admit(&mut self, entry: &BatchEntry) -> EntryVerdict {
         if entry.offset < self.next {
@@ -70,6 +83,7 @@
         self.sweep(entry);
         let mark = WriterMark {
             sequence: entry.batch.sequence,
+            offset: entry.offset,
             time_ms: entry.time_ms,
         };
         match self.writers.get(&entry.batch.writer) {
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -4,6 +4,7 @@
 
 use amaranth_wire::id::{InstanceId, LeaseEpoch, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{LeaseName, LogRecord};
+use serde::{Deserialize, Serialize};
 
 /// How long a lease lasts after its last renewal, in milliseconds of the log's clock.
 pub const LEASE_TTL_MS: u64 = 6_000;
@@ -84,7 +85,7 @@
 }
 
 /// The current lease of one shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardLease {
     /// Who holds it.
     pub holder: InstanceId,
@@ -106,7 +107,7 @@
 }
 
 /// The leases of all shards, folded from the log.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseTable {
     leases: HashMap<ShardId, ShardLease>,
 }
--- a/crates/kernel/src/ledger.rs
+++ b/crates/kernel/src/ledger.rs
@@ -7,6 +7,7 @@
 use amaranth_wire::id::{JobId, LogOffset, ShardId, TeamId, TierId};
 use amaranth_wire::message::{JobPhase, JobReport};
 use amaranth_wire::record::{ItemOutcome, LogRecord};
+use serde::{Deserialize, Serialize};
 
 use crate::bitmap::ItemBitmap;
 use crate::hashing::hash_bytes;
@@ -15,6 +16,10 @@
 pub const SHARD_COUNT: u64 = 64;
 /// How long an upload that was never sealed is remembered, in milliseconds of the log's clock.
 const UPLOAD_MEMORY_MS: u64 = 3_600_000;
+/// Copyings of one job's results that may be under way at once.
+const PENDING_COPIES: usize = 4;
+/// How long the results of an ended job stay readable, in milliseconds of the log's clock.
+pub const RESULT_MEMORY_MS: u64 = 86_400_000;
 /// Lowest status that counts as a failed item.
 const FIRST_FAILED_STATUS: u16 = 400;
 
@@ -24,7 +29,7 @@
 }
 
 /// Where consecutive items of a job stand on the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemRange {
     /// Entry that holds them.
     pub offset: LogOffset,
@@ -42,7 +47,7 @@
 }
 
 /// An entry that holds results of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResultEntry {
     /// The entry.
     pub offset: LogOffset,
@@ -59,8 +64,26 @@
     }
 }
 
+/// A copying of results whose last part is not there yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PendingCopy {
+    copy: u64,
+    parts: u32,
+    entries: Vec<ResultEntry>,
+}
+
+impl PendingCopy {
+    fn new(copy: u64) -> Self {
+        Self {
+            copy,
+            parts: 0,
+            entries: Vec::new(),
+        }
+    }
+}
+
 /// The pieces of one upload, in the order of their items and without overlap.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct PendingUpload {
     ranges: Vec<ItemRange>,
     time_ms: u64,
@@ -83,7 +106,7 @@
 }
 
 /// One accepted job.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobState {
     /// Who submitted it.
     pub team: TeamId,
@@ -105,10 +128,14 @@
     pub finished: ItemBitmap,
     /// Items whose result is a failure.
     pub failed: u32,
-    /// Entries that hold at least one accepted result, in order.
+    /// Entries that hold at least one accepted result, in the order in which results were
+    /// accepted. An item's result is the first in this order; copies stand where the originals did.
     pub results: Vec<ResultEntry>,
+    copies: Vec<PendingCopy>,
     /// Whether it was cancelled.
     pub cancelled: bool,
+    /// When it was completed or cancelled, Unix milliseconds by the log's clock.
+    pub ended_ms: Option<u64>,
 }
 
 impl JobState {
@@ -127,17 +154,51 @@
         ranges.iter().rfind(|range| range.first <= index).copied()
     }
 
+    fn note_end(&mut self, time_ms: u64) {
+        if self.phase() != JobPhase::InProgress {
+            self.ended_ms.get_or_insert(time_ms);
+        }
+    }
+
     fn note_result(&mut self, offset: LogOffset, index: u32) {
-        match self.results.last_mut() {
-            Some(entry) if entry.offset == offset => {
-                entry.first = entry.first.min(index);
-                entry.last = entry.last.max(index);
+        add_index(&mut self.results, offset, index);
+    }
+
+    /// Reads results from their copies from now on, once every part of the copying is there.
+    fn carry_results(&mut self, offset: LogOffset, record: &LogRecord) {
+        let LogRecord::ResultsCarried {
+            copy,
+            through,
+            part,
+            last,
+            outcomes,
+            ..
+        } = record
+        else {
+            return;
+        };
+        if *part == 0 {
+            self.copies.retain(|pending| pending.copy != *copy);
+            self.copies.push(PendingCopy::new(*copy));
+        }
+        let due = |pending: &PendingCopy| pending.copy == *copy && pending.parts == *part;
+        let Some(position) = self.copies.iter().position(due) else {
+            return;
+        };
+        let pending = &mut self.copies[position];
+        pending.parts += 1;
+        for outcome in outcomes {
+            add_index(&mut pending.entries, offset, outcome.index);
+        }
+        if *last {
+            let copied = self.copies.remove(position).entries;
+            let replaced = self.results.iter().position(|e| e.offset == *through);
+            if let Some(replaced) = replaced {
+                self.results.splice(..=replaced, copied);
             }
-            _ => self.results.push(ResultEntry {
-                offset,
-                first: index,
-                last: index,
-            }),
+        }
+        if self.copies.len() > PENDING_COPIES {
+            self.copies.remove(0);
         }
     }
 
@@ -154,7 +215,7 @@
 }
 
 /// The jobs of one shard.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobLedger {
     uploads: HashMap<(JobId, u64), PendingUpload>,
     jobs: HashMap<JobId, JobState>,
@@ -178,8 +239,30 @@
                 self.add_items(job, *upload, range, time_ms);
             }
             LogRecord::JobSealed { .. } => self.seal(record),
-            LogRecord::ItemsFinished { job, outcomes, .. } => self.finish(offset, job, outcomes),
-            LogRecord::JobCancelled { job, .. } => self.cancel(job),
+            LogRecord::ItemsFinished { job, outcomes, .. } => {
+                self.finish(offset, time_ms, job, outcomes);
+            }
+            LogRecord::JobCancelled { job, .. } => self.cancel(time_ms, job),
+            LogRecord::ItemsCarried {
+                job,
+                upload,
+                first,
+                items,
+            } => {
+                let count = items.len() as u32;
+                let first = *first;
+                let range = ItemRange {
+                    offset,
+                    first,
+                    count,
+                };
+                self.carry_items(job, *upload, range);
+            }
+            LogRecord::ResultsCarried { job, .. } => {
+                if let Some(state) = self.jobs.get_mut(job) {
+                    state.carry_results(offset, record);
+                }
+            }
             _ => {}
         }
     }
@@ -247,17 +330,19 @@
             finished: ItemBitmap::new(*count),
             failed: 0,
             results: Vec::new(),
+            copies: Vec::new(),
             cancelled: false,
+            ended_ms: None,
         };
         self.jobs.insert(job.clone(), state);
     }
 
     /// Takes the first result of each item; later ones, and those of a cancelled job, are ignored.
-    fn finish(&mut self, offset: LogOffset, job: &JobId, outcomes: &[ItemOutcome]) {
+    fn finish(&mut self, offset: LogOffset, time_ms: u64, job: &JobId, outcomes: &[ItemOutcome]) {
         let Some(state) = self.jobs.get_mut(job) else {
             return;
         };
-        if state.cancelled {
+        if state.phase() != JobPhase::InProgress {
             return;
         }
         for outcome in outcomes {
@@ -266,14 +351,51 @@
                 state.note_result(offset, outcome.index);
             }
         }
+        state.note_end(time_ms);
     }
 
-    fn cancel(&mut self, job: &JobId) {
+    /// Reads a piece from its copy from now on.
+    fn carry_items(&mut self, job: &JobId, upload: u64, copy: ItemRange) {
+        let state = self.jobs.get_mut(job);
+        let Some(state) = state.filter(|state| state.upload == upload) else {
+            return;
+        };
+        let same = |range: &&mut ItemRange| range.first == copy.first && range.count == copy.count;
+        if let Some(range) = state.ranges.iter_mut().find(same) {
+            *range = copy;
+        }
+    }
+
+    /// Forgets jobs that ended so long before a time of the log's clock that their results need
+    /// not be readable any more.
+    pub fn forget_ended(&mut self, time_ms: u64) {
+        let oldest = time_ms.saturating_sub(RESULT_MEMORY_MS);
+        self.jobs
+            .retain(|_, state| state.ended_ms.is_none_or(|ended_ms| ended_ms >= oldest));
+    }
+
+    fn cancel(&mut self, time_ms: u64, job: &JobId) {
         if let Some(state) = self.jobs.get_mut(job)
             && !state.finished.is_full()
         {
             state.cancelled = true;
+            state.note_end(time_ms);
+        }
+    }
+}
+
+/// Adds an index to the entry that holds its result.
+fn add_index(entries: &mut Vec<ResultEntry>, offset: LogOffset, index: u32) {
+    match entries.last_mut() {
+        Some(entry) if entry.offset == offset => {
+            entry.first = entry.first.min(index);
+            entry.last = entry.last.max(index);
         }
+        _ => entries.push(ResultEntry {
+            offset,
+            first: index,
+            last: index,
+        }),
     }
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod ledger;
 pub mod log_clock;
 pub mod plugin;
+pub mod retention;
 pub mod routing;
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -132,6 +132,44 @@
         /// The new value as JSON text.
         value: String,
     },
+    /// Copies a piece of a job's input from an entry that the log will drop.
+    ItemsCarried {
+        /// The job.
+        job: JobId,
+        /// The upload whose items count.
+        upload: u64,
+        /// Index of the first item.
+        first: u32,
+        /// The items, consecutive from `first`.
+        items: Vec<ItemInput>,
+    },
+    /// Copies results of a job from entries that the log will drop.
+    ResultsCarried {
+        /// The job.
+        job: JobId,
+        /// Names the copying that this is part of.
+        copy: u64,
+        /// Every result is copied up to this entry, in the order in which they were accepted.
+        through: LogOffset,
+        /// Which part of the copying, from 0.
+        part: u32,
+        /// Whether this is its last part.
+        last: bool,
+        /// The results.
+        outcomes: Vec<ItemOutcome>,
+    },
+    /// Part of the state that all entries before an offset fold to.
+    StateCheckpoint {
+        /// The first offset that the state does not cover.
+        as_of: LogOffset,
+        /// Which part, from 0.
+        part: u32,
+        /// How many parts there are.
+        parts: u32,
+        /// The part.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
 }
 
 /// The content of one append.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -95,7 +95,8 @@
             |_| TestProcess::start(env!("CARGO_BIN_EXE_amaranth-engine"), engine_args);
         let engines: Vec<_> = (0..engines).map(start_engine).collect();
         let names: Vec<_> = (1..=entries).map(|n| format!("entry-{n}")).collect();
-        let settings = write_settings(&platform, &engines, &names);
+        let retention = option_of(platform_args, "--retention").unwrap_or("24h");
+        let settings = write_settings(&platform, &engines, &names, retention);
         let mut fleet = Self {
             platform,
             engines,
@@ -264,7 +265,18 @@
     (0..items).map(line).collect()
 }
 
-fn write_settings(platform: &TestProcess, engines: &[TestProcess], names: &[String]) -> PathBuf {
+/// The value that follows an option.
+fn option_of<'a>(args: &[&'a str], option: &str) -> Option<&'a str> {
+    let position = args.iter().position(|arg| *arg == option)?;
+    args.get(position + 1).copied()
+}
+
+fn write_settings(
+    platform: &TestProcess,
+    engines: &[TestProcess],
+    names: &[String],
+    retention: &str,
+) -> PathBuf {
     let addresses: Vec<_> = engines.iter().map(|e| e.address.to_string()).collect();
     let centre = |index: usize| {
         if index.is_multiple_of(2) {
@@ -281,7 +293,7 @@
     let settings = json!({
         "fleet": "test",
         "data_centres": ["dc-a", "dc-b"],
-        "platform": {"address": platform.address.to_string()},
+        "platform": {"address": platform.address.to_string(), "retention": retention},
         "instances": instances,
         "upstreams": [{
             "name": "sketch-llm",
