--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,12 +6,16 @@
 
 use amaranth_net::client::HttpClient;
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::InstanceId;
 use amaranth_wire::message::InstanceReport;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::call_meter::CallMeter;
+use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
+use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
 use crate::membership::MemberTable;
@@ -40,8 +44,14 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// The callers' keys.
+    pub callers: CallerKeys,
+    /// Calls in progress.
+    pub calls: CallMeter,
     /// The other instances.
     pub members: MemberTable,
+    /// What the other instances said of themselves.
+    pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
     pub work: TaskTracker,
     /// Cancelled when the process ends.
@@ -62,7 +72,10 @@
         let upstreams = UpstreamTable::new(&config.fleet);
         Self {
             items: ItemReader::new(log.clone()),
+            callers: CallerKeys::new(&config.fleet.teams),
+            calls: CallMeter::default(),
             members: MemberTable::default(),
+            gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
@@ -101,6 +114,14 @@
         self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
     }
 
+    /// Names of the instances that are listed as live and not believed gone, this one included
+    /// unless it is leaving.
+    pub fn live_instances(&self) -> Vec<InstanceId> {
+        let mut live = self.members.live();
+        live.retain(|instance| !self.gossip.is_lost(instance));
+        live
+    }
+
     /// Refuses work before the log was folded. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
--- a/crates/entry/src/shard_preference.rs
+++ b/crates/entry/src/shard_preference.rs
@@ -50,7 +50,7 @@
             return;
         }
         self.refreshed_ms = now_ms;
-        let live = context.members.live();
+        let live = context.live_instances();
         if live == self.live {
             return;
         }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,14 +1,22 @@
 //! Decisions and the state folded from the log. Pure: time, randomness and membership come in as
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
+pub mod batch_room;
 pub mod bitmap;
 pub mod commit;
 pub mod config_state;
 pub mod cursor;
+pub mod file_table;
 pub mod hashing;
 pub mod lease;
 pub mod ledger;
 pub mod log_clock;
+pub mod log_source;
+pub mod membership;
 pub mod plugin;
+pub mod quota;
 pub mod retention;
 pub mod routing;
+pub mod slot_book;
+pub mod step_model;
+pub mod subset;
--- /dev/null
+++ b/crates/kernel/tests/batch_room.rs
@@ -0,0 +1,102 @@
+//! The room that batch gets beside online work.
+
+use amaranth_kernel::batch_room::{BurstWindow, RoomView, room_policy, split_room};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 3_000,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn any_view() -> impl Strategy<Value = RoomView> {
+    (
+        1..64_u32,
+        0..80_u32,
+        0..20_u32,
+        1_000..2_000_u32,
+        0..100_u32,
+    )
+        .prop_map(
+            |(slots, online, reserve, slowdown_permille, growth_permille)| RoomView {
+                slots,
+                online,
+                reserve,
+                slowdown_permille,
+                growth_permille,
+            },
+        )
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A burst of the size of the reserve finds a place without waiting, and the online work
+    /// that runs is slowed no more than allowed.
+    #[test]
+    fn online_work_finds_its_reserve_and_its_speed(view in any_view()) {
+        let room = (room_policy("give_way").expect("registered").room)(&view);
+        let free = view.slots.saturating_sub(view.online + room);
+        prop_assert!(room == 0 || free >= view.reserve.max(1));
+        if view.online > 0 {
+            let step = |streams: u32| 1_000 + u64::from(view.growth_permille * (streams - 1));
+            let allowed = step(view.online) * u64::from(view.slowdown_permille) / 1_000;
+            prop_assert!(step(view.online + room) <= allowed.max(step(view.online)));
+        }
+    }
+
+    /// Without online work batch gets everything above the reserve; more online never gives more.
+    #[test]
+    fn idle_room_is_filled(view in any_view()) {
+        let room = |view: &RoomView| (room_policy("give_way").expect("registered").room)(view);
+        let idle = RoomView { online: 0, ..view };
+        prop_assert_eq!(room(&idle), view.slots.saturating_sub(view.reserve.max(1)));
+        prop_assert!(room(&view) <= room(&idle));
+    }
+
+    /// All room is given out, nobody gets more than wanted, and nobody who wants more gets less
+    /// than another by more than one.
+    #[test]
+    fn room_is_split_fairly(room in 0..100_u32, wants in vec(0..40_u32, 0..12)) {
+        let shares = split_room(room, &wants);
+        let given: u32 = shares.iter().sum();
+        prop_assert_eq!(given, room.min(wants.iter().sum()));
+        for (share, want) in shares.iter().zip(&wants) {
+            prop_assert!(share <= want);
+            let largest = shares.iter().max().expect("not empty");
+            prop_assert!(share == want || share + 1 >= *largest);
+        }
+    }
+}
+
+#[test]
+fn the_reserve_follows_recent_bursts() {
+    let mut window = BurstWindow::default();
+    for (at, online) in [(0, 2), (200, 5), (450, 9), (1_000, 3), (2_000, 4)] {
+        window.note(at, online);
+    }
+    assert_eq!(window.largest(), 7);
+    window.note(21_000, 4);
+    assert_eq!(window.largest(), 0);
+}
+
+#[test]
+fn the_baselines_do_not_give_way() {
+    let view = RoomView {
+        slots: 16,
+        online: 20,
+        reserve: 4,
+        slowdown_permille: 1_050,
+        growth_permille: 30,
+    };
+    let room = |name| (room_policy(name).expect("registered").room)(&view);
+    assert_eq!(
+        ["give_way", "no_distinction", "static_split"].map(room),
+        [0, 16, 8]
+    );
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,10 @@
 //! Types shared by every amaranthford process: identifiers, units, error kinds, log records and
 //! the messages between processes. No I/O.
 
+pub mod batch_slots;
 pub mod engine;
 pub mod error;
+pub mod gossip;
 pub mod id;
 pub mod message;
 pub mod platform;
