--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admit::AdmissionDesk;
 use crate::call_meter::CallMeter;
 use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
@@ -48,6 +49,8 @@
     pub callers: CallerKeys,
     /// Calls in progress.
     pub calls: CallMeter,
+    /// Online requests that wait for room.
+    pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
     /// What the other instances said of themselves.
@@ -75,6 +78,7 @@
             callers: CallerKeys::new(&config.fleet.teams),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            admission: AdmissionDesk::new(&config.fleet),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,11 +2,14 @@
 //! platform.
 
 pub mod accept;
+pub mod admit;
+pub mod attempt;
 pub mod batch_intake;
 pub mod batch_upload;
 pub mod batch_view;
 pub mod call_meter;
 pub mod caller_auth;
+pub mod caller_port;
 pub mod carrier;
 pub mod cli;
 pub mod commit_queue;
@@ -19,6 +22,7 @@
 pub mod item_reader;
 pub mod item_run;
 pub mod lease_keeper;
+pub mod load_poll;
 pub mod log_client;
 pub mod membership;
 pub mod models;
@@ -26,9 +30,12 @@
 pub mod owner;
 pub mod process;
 pub mod relay;
+pub mod request_run;
 pub mod routes;
 pub mod running_items;
+pub mod settle;
 pub mod shard_preference;
 pub mod shared_state;
 pub mod state_source;
+pub mod upstream_state;
 pub mod upstream_table;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,7 +10,7 @@
 use http::header::ALLOW;
 use volo_http::response::Response;
 use volo_http::server::Router;
-use volo_http::server::route::{MethodRouter, get, post};
+use volo_http::server::route::{MethodRouter, any, get, post};
 
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
@@ -44,11 +44,13 @@
     let store = post(handler(context, metered(files::store)));
     let file = get(handler(context, metered(files::show)));
     let content = get(handler(context, metered(files::content)));
+    let service = any(handler(context, metered(accept::service)));
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
     router
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
+        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/models", only(context, "GET", all_models))
         .route("/v1/models/{id}", only(context, "GET", model))
         .route("/v1/files", only(context, "POST", store))
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,11 +1,14 @@
 //! Decisions and the state folded from the log. Pure: time, randomness and membership come in as
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
+pub mod admission_queue;
 pub mod batch_room;
 pub mod bitmap;
 pub mod commit;
+pub mod concurrency_limit;
 pub mod config_state;
 pub mod cursor;
+pub mod ejection;
 pub mod file_table;
 pub mod hashing;
 pub mod lease;
@@ -16,7 +19,10 @@
 pub mod plugin;
 pub mod quota;
 pub mod retention;
+pub mod retry;
 pub mod routing;
 pub mod slot_book;
 pub mod step_model;
+pub mod stream_assembly;
 pub mod subset;
+pub mod upstream_load;
