Read the log by way of two relays in each data centre

Cause: every instance polled the log itself, 2,600 readers at the planned size; and an instance that got old entries from a peer noted that it had seen the head of the log just then. Ruled out: a tree over data centres (a relay of a relay ages the head once more; 86 readers are few enough for a log that takes hundreds of appends a second). Change: instances that are not among the first two of their data centre follow one of those; a relay says how long ago it saw the head, and is passed over when that is long or it cannot reach back. A reply by way of a peer carries that age.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -19,6 +19,7 @@
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
+use crate::log_reader::LogReader;
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
@@ -57,6 +58,8 @@
     pub members: MemberTable,
     /// When the other instances were last heard.
     pub sights: PeerSights,
+    /// Reads of the log by way of relays.
+    pub reader: LogReader,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -85,6 +88,7 @@
             calls: CallMeter::default(),
             members: MemberTable::default(),
             sights: PeerSights::default(),
+            reader: LogReader::default(),
             relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
             gossip: MemberGossip::new(&config),
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -5,12 +5,12 @@
 
 use amaranth_kernel::cursor::EntryVerdict;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::platform::{RawEntry, ReadReply};
+use amaranth_wire::platform::RawEntry;
 use amaranth_wire::record::{BatchEntry, RecordBatch};
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
-use crate::log_relay;
+use crate::log_relay::{self, RelayReply};
 
 /// Wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -26,10 +26,10 @@
 async fn follow(context: &InstanceContext) {
     loop {
         let from = context.state.folded();
-        match context.log.follow(from).await {
+        match context.reader.follow(context, from).await {
             Ok(reply) => fold_reply(context, &reply),
             Err(e) => {
-                log::debug!("event=log_read_failed error={}", quote(&e.to_string()));
+                log::debug!("event=log_read_failed error={}", quote(&e.message));
                 log_relay::catch_up(context).await;
                 sleep(RETRY_DELAY).await;
             }
@@ -38,10 +38,11 @@
 }
 
 /// Folds what a read gave.
-pub fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+pub fn fold_reply(context: &InstanceContext, relayed: &RelayReply) {
+    let reply = &relayed.reply;
     context.state.note_log_time(reply.now_ms);
     context.state.lose_before(reply.oldest);
-    context.relay.note_read(reply);
+    context.relay.note_read(relayed);
     reply
         .entries
         .iter()
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -62,6 +62,11 @@
         self.table().highest_offset()
     }
 
+    /// Instances of the own data centre that are not gone, this one included.
+    pub fn live(&self) -> Vec<InstanceId> {
+        self.table().live(steady_ms())
+    }
+
     /// Whether an instance of any data centre is believed gone.
     pub fn is_lost(&self, instance: &InstanceId) -> bool {
         self.table().is_lost(instance, steady_ms())
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lease_keeper;
 pub mod load_poll;
 pub mod log_client;
+pub mod log_reader;
 pub mod log_relay;
 pub mod membership;
 pub mod models;
--- a/crates/entry/src/log_relay.rs
+++ b/crates/entry/src/log_relay.rs
@@ -17,7 +17,7 @@
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::LogOffset;
 use amaranth_wire::platform::{RawEntry, ReadReply};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use volo_http::response::Response;
 
 use crate::context::{InstanceContext, Result};
@@ -50,14 +50,23 @@
     buffer: Mutex<RelayBuffer>,
 }
 
+/// What an instance passes on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RelayReply {
+    /// Milliseconds since the sender last saw the head of the log; `None` if it never did.
+    pub head_age_ms: Option<u64>,
+    /// The entries, as the log gave them.
+    pub reply: ReadReply,
+}
+
 #[derive(Debug, Deserialize)]
 struct RelayQuery {
     from: u64,
 }
 
 impl LogRelay {
-    /// Keeps what a read gave.
-    pub fn note_read(&self, reply: &ReadReply) {
+    /// Keeps what a read gave, directly or by way of a peer.
+    pub fn note_read(&self, RelayReply { head_age_ms, reply }: &RelayReply) {
         let mut buffer = self.buffer.lock().expect("not poisoned");
         buffer.log_now_ms = buffer.log_now_ms.max(reply.now_ms);
         for entry in &reply.entries {
@@ -65,7 +74,8 @@
         }
         let next = buffer.entries.back().map(|entry| entry.offset.next());
         if reply.entries.is_empty() || next >= Some(reply.head) {
-            buffer.at_head_ms = Some(steady_ms());
+            let seen_ms = head_age_ms.map(|age| steady_ms().saturating_sub(age));
+            buffer.at_head_ms = buffer.at_head_ms.max(seen_ms);
         }
     }
 
@@ -77,7 +87,8 @@
     }
 
     /// Entries from an offset on; none if the first of them is no longer kept.
-    fn read(&self, from: LogOffset) -> ReadReply {
+    pub fn read(&self, from: LogOffset) -> RelayReply {
+        let head_age_ms = self.log_age_ms();
         let buffer = self.buffer.lock().expect("not poisoned");
         let first = buffer.entries.front().map(|entry| entry.offset);
         let next = buffer.entries.back().map(|entry| entry.offset.next());
@@ -89,12 +100,14 @@
             bytes += entry.bytes.len();
             reaches && fits
         });
-        ReadReply {
-            oldest: first.unwrap_or_default(),
+        let reply = ReadReply {
+            // What this instance no longer keeps may still stand on the log.
+            oldest: LogOffset(0),
             head: next.unwrap_or_default(),
             now_ms: buffer.log_now_ms,
             entries: wanted.cloned().collect(),
-        }
+        };
+        RelayReply { head_age_ms, reply }
     }
 }
 
@@ -150,22 +163,18 @@
     let from = context.state.folded();
     let limits = CallLimits::new(PEER_LIMIT);
     let call = HttpCall::get(address, format!("{PEER_LOG_PATH}?from={from}"));
-    let Ok(mut reply) = context
-        .client
-        .fetch_message::<ReadReply>(call, limits)
-        .await
-    else {
+    let fetched = context.client.fetch_message::<RelayReply>(call, limits);
+    let Ok(relayed) = fetched.await else {
         return false;
     };
+    let reply = &relayed.reply;
     if reply.head <= from {
         return false;
     }
     if !reply.entries.is_empty() {
-        // What the peer no longer keeps may still stand on the log.
-        reply.oldest = LogOffset(0);
         metrics::counter!("amaranth_log_relayed_entries_total")
             .increment(reply.entries.len() as u64);
-        follower::fold_reply(context, &reply);
+        follower::fold_reply(context, &relayed);
         return true;
     }
     let call = HttpCall::get(address, PEER_CHANGES_PATH);
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -15,8 +15,8 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_intake, batch_view, files, gossip, log_relay, models, operator, operator_command,
-    operator_peers, operator_query,
+    accept, batch_intake, batch_view, files, gossip, log_reader, log_relay, models, operator,
+    operator_command, operator_peers, operator_query,
 };
 
 /// The server of an instance.
@@ -88,11 +88,13 @@
 /// Paths of peers.
 fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let exchange = post(handler(context, gossip::handle));
+    let follow = get(handler(context, log_reader::serve));
     let entries = get(handler(context, log_relay::entries));
     let changes = get(handler(context, log_relay::changes));
     let rows = post(handler(context, operator_peers::answer_question));
     router
         .route(GOSSIP_PATH, only(context, "POST", exchange))
+        .route(log_reader::PEER_FOLLOW_PATH, only(context, "GET", follow))
         .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
         .route(log_relay::PEER_CHANGES_PATH, only(context, "GET", changes))
         .route(operator_peers::PEER_ROWS_PATH, only(context, "POST", rows))
