Refuse new work on an instance that is cut off

Cause: an instance that reached neither the log nor any other instance stayed ready and took work under configuration that may no longer hold elsewhere. Ruled out: refusing on a log outage alone (online work goes on while peers are heard); refusing where no other instance is listed (a fleet of one would stop with the log). Change: not ready, and new work refused as not run, after 10 s without a sight of the log's head and 20 s without a word from any listed instance; what runs goes on.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -29,6 +29,9 @@
 /// Longest wait for a connection to an upstream or peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time without a sight of the log's head after which an instance without peers is cut off.
+const CUT_OFF_MS: u64 = 10_000;
+
 /// Result of a call on an instance.
 pub type Result<T> = std::result::Result<T, CallError>;
 
@@ -128,7 +131,14 @@
 
     /// Whether the balancer may send new work here.
     pub fn is_ready(&self) -> bool {
-        self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
+        self.caught_up.load(Ordering::Acquire) && !self.is_leaving() && !self.is_cut_off()
+    }
+
+    /// Whether neither the log nor any other instance was reached for long. What is in force
+    /// elsewhere may have changed meanwhile.
+    pub fn is_cut_off(&self) -> bool {
+        let log_age_ms = self.relay.log_age_ms().unwrap_or(u64::MAX);
+        log_age_ms >= CUT_OFF_MS && self.gossip.is_alone()
     }
 
     /// Names of the instances that are listed as live and not believed gone, this one included
@@ -139,13 +149,14 @@
         live
     }
 
-    /// Refuses work before the log was folded. A leaving instance still accepts until the
+    /// Refuses work before the log was folded and while cut off. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
-        if self.caught_up.load(Ordering::Acquire) {
-            return Ok(());
-        }
-        let message = "this instance has not read the log yet";
+        let message = match (self.caught_up.load(Ordering::Acquire), self.is_cut_off()) {
+            (true, false) => return Ok(()),
+            (true, true) => "this instance reaches neither the log nor any other instance",
+            (false, _) => "this instance has not read the log yet",
+        };
         Err(CallError::new(ErrorKind::NotReady, message))
     }
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -62,6 +62,11 @@
         self.table().highest_offset()
     }
 
+    /// Whether no other instance was heard for long though some are listed.
+    pub fn is_alone(&self) -> bool {
+        self.table().is_alone(steady_ms())
+    }
+
     /// Instances of the own data centre that are not gone, this one included.
     pub fn live(&self) -> Vec<InstanceId> {
         self.table().live(steady_ms())
--- a/crates/kernel/src/membership.rs
+++ b/crates/kernel/src/membership.rs
@@ -74,6 +74,7 @@
     candidates: BTreeMap<InstanceId, DataCentreId>,
     highest: LogOffset,
     first_beat_ms: Option<u64>,
+    heard_ms: Option<u64>,
 }
 
 impl GossipTable {
@@ -87,6 +88,7 @@
             candidates: BTreeMap::new(),
             highest: LogOffset(0),
             first_beat_ms: None,
+            heard_ms: None,
         }
     }
 
@@ -142,6 +144,7 @@
 
     /// Takes what another instance knows.
     pub fn receive(&mut self, message: &GossipMessage, now_ms: u64) {
+        self.heard_ms = Some(now_ms);
         if message.data_centre == self.data_centre {
             message
                 .members
@@ -203,6 +206,12 @@
         now_ms >= since + GONE_MS
     }
 
+    /// Whether no other instance was heard for long though some are listed.
+    pub fn is_alone(&self, now_ms: u64) -> bool {
+        let since = self.heard_ms.or(self.first_beat_ms).unwrap_or(now_ms);
+        !self.candidates.is_empty() && now_ms >= since + GONE_MS
+    }
+
     /// Time since the last heartbeat of an instance of the own data centre was made, as far as
     /// is known, in milliseconds.
     pub fn age_ms(&self, instance: &InstanceId, now_ms: u64) -> u64 {
