--- a/crates/standin/src/engine_text.rs
+++ b/crates/standin/src/engine_text.rs
@@ -1,6 +1,6 @@
 //! Requests and answers of the engine stand-in, as completion clients know them.
 
-use amaranth_net::clock::unix_ms;
+use amaranth_net::clock::{steady_us, unix_ms};
 use amaranth_wire::error::{CallError, ErrorKind};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,15 @@
     Text,
 }
 
+impl CompletionKind {
+    fn chunk_object(self) -> &'static str {
+        match self {
+            Self::Chat => "chat.completion.chunk",
+            Self::Text => "text_completion",
+        }
+    }
+}
+
 /// A checked request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CompletionRequest {
@@ -125,10 +134,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerWriter {
     kind: CompletionKind,
-    id: String,
-    created_s: u64,
-    model: String,
-    version: String,
+    head: Value,
+    /// Start of every event, up to the comma after the version.
+    event_start: String,
     prompt_tokens: usize,
     text: TokenText,
 }
@@ -136,25 +144,30 @@
 impl AnswerWriter {
     /// A writer for a request that the given version answers.
     pub fn new(request: &CompletionRequest, id: String, version: &str) -> Self {
+        let kind = request.kind;
+        let head = json!({
+            "id": id,
+            "created": unix_ms() / 1_000,
+            "model": request.model,
+            "system_fingerprint": version,
+        });
+        let mut start = head.clone();
+        start["object"] = json!(kind.chunk_object());
+        let start = start.to_string();
+        let start = start.trim_end_matches('}');
         Self {
-            kind: request.kind,
-            id,
-            created_s: unix_ms() / 1_000,
-            model: request.model.clone(),
-            version: version.to_owned(),
+            kind,
+            event_start: format!("data: {start},\"timing\":{{\"received_us\":{}", steady_us()),
+            head,
             prompt_tokens: request.prompt.split_whitespace().count(),
             text: TokenText::new(&request.prompt),
         }
     }
 
     fn head(&self, object: &str) -> Value {
-        json!({
-            "id": self.id,
-            "object": object,
-            "created": self.created_s,
-            "model": self.model,
-            "system_fingerprint": self.version,
-        })
+        let mut head = self.head.clone();
+        head["object"] = json!(object);
+        head
     }
 
     fn usage(&self, tokens: u32) -> Value {
@@ -183,8 +196,8 @@
         answer
     }
 
-    /// The event of one token. Written by hand since it is the engine's hot path: all texts in it
-    /// are free of characters that JSON escapes.
+    /// The event of one token, written by hand since it is the engine's hot path. `timing` tells
+    /// when the request came in and when the event was written, on this machine's steady clock.
     pub fn token_event(&self, index: u32, finish_reason: Option<&str>) -> Bytes {
         let token = self.text.token(index);
         let choice = match self.kind {
@@ -195,18 +208,11 @@
             Some(reason) => format!("\"{reason}\""),
             None => "null".to_owned(),
         };
-        let Self {
-            id,
-            created_s,
-            model,
-            version,
-            ..
-        } = self;
-        let object = self.chunk_object();
+        let written_us = steady_us();
+        let start = &self.event_start;
         Bytes::from(format!(
-            "id: {index}\ndata: {{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":{created_s},\
-             \"model\":\"{model}\",\"system_fingerprint\":\"{version}\",\"choices\":[{{\"index\":0,\
-             {choice},\"finish_reason\":{finish}}}]}}\n\n"
+            "id: {index}\n{start},\"written_us\":{written_us}}},\"choices\":[{{\"index\":0,{choice},\
+             \"finish_reason\":{finish}}}]}}\n\n"
         ))
     }
 
@@ -218,23 +224,16 @@
         };
         choice["index"] = json!(0);
         choice["finish_reason"] = json!(finish_reason);
-        let mut chunk = self.head(self.chunk_object());
+        let mut chunk = self.head(self.kind.chunk_object());
         chunk["choices"] = json!([choice]);
         Bytes::from(format!("data: {chunk}\n\n"))
     }
 
     /// The event that gives the usage.
     pub fn usage_event(&self, tokens: u32) -> Bytes {
-        let mut chunk = self.head(self.chunk_object());
+        let mut chunk = self.head(self.kind.chunk_object());
         chunk["choices"] = json!([]);
         chunk["usage"] = self.usage(tokens);
         Bytes::from(format!("data: {chunk}\n\n"))
     }
-
-    fn chunk_object(&self) -> &'static str {
-        match self.kind {
-            CompletionKind::Chat => "chat.completion.chunk",
-            CompletionKind::Text => "text_completion",
-        }
-    }
 }
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
+use volo_http::server::Router;
 
 /// Longest wait for something that a test expects to happen.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -44,8 +45,13 @@
 
     /// Serves a platform.
     pub async fn platform(profile: PlatformProfile) -> Self {
+        Self::serve_router(platform::router(Arc::new(PlatformState::new(profile)))).await
+    }
+
+    /// Serves any paths.
+    pub async fn serve_router(router: Router) -> Self {
         let served = ServedRouter {
-            router: platform::router(Arc::new(PlatformState::new(profile))),
+            router,
             on_accept: None,
         };
         Self::serve(served, CancellationToken::new()).await
