--- a/crates/entry/src/batch_view.rs
+++ b/crates/entry/src/batch_view.rs
@@ -1,41 +1,110 @@
 //! What callers see of their jobs: state, results, cancel.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::ops::Range;
 use std::sync::Arc;
-use std::time::Duration;
 
-use amaranth_kernel::ledger::{ItemRange, JobState};
+use amaranth_kernel::bitmap::ItemBitmap;
+use amaranth_kernel::ledger::{ItemRange, JobState, ResultEntry, SHARD_COUNT};
 use amaranth_net::answer;
 use amaranth_net::route::RouteRequest;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::{CommandId, JobId, LogOffset};
+use amaranth_wire::id::{CommandId, JobId, LogOffset, ShardId, TeamId};
 use amaranth_wire::message::JobPhase;
 use amaranth_wire::record::{ItemOutcome, LogRecord};
+use amaranth_wire::unit::TimeSpan;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body::Frame;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use crate::batch_intake::commit;
+use crate::batch_upload::ITEM_ENDPOINT;
 use crate::context::{InstanceContext, Result};
+use crate::item_reader::ItemPiece;
 
-/// Longest wait until a cancel is on the log.
-const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Items whose results are read and sent together.
+const PART_ITEMS: u32 = 256;
+use crate::files;
+
+/// Jobs on one page of a list that names no limit.
+const DEFAULT_LISTED: usize = 20;
+/// Most jobs on one page of a list.
+const MAX_LISTED: usize = 100;
 /// Pieces of a result stream that may wait for a slow caller.
 const STREAM_BUFFER: usize = 4;
 
+/// Query of a list of jobs.
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    limit: Option<usize>,
+    after: Option<JobId>,
+}
+
+/// Handles a query for a team's jobs, newest first.
+pub async fn list(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
+    let query: ListQuery = request.query()?;
+    let limit = query.limit.unwrap_or(DEFAULT_LISTED);
+    if !(1..=MAX_LISTED).contains(&limit) {
+        let message = format!("limit must be 1 to {MAX_LISTED}");
+        return Err(CallError::new(ErrorKind::InvalidRequest, message));
+    }
+    let jobs = jobs_of(&context, &team);
+    let start = match query.after {
+        None => 0,
+        Some(after) => match jobs.iter().position(|job| *job == after) {
+            Some(position) => position + 1,
+            None => return Err(CallError::new(ErrorKind::NotFound, "no such batch")),
+        },
+    };
+    let page = jobs.iter().skip(start).take(limit);
+    let data: Result<Vec<_>> = page.map(|job| view(&context, &team, job)).collect();
+    let data = data?;
+    let body = json!({
+        "object": "list",
+        "first_id": data.first().map(|job| job["id"].clone()),
+        "last_id": data.last().map(|job| job["id"].clone()),
+        "has_more": start + data.len() < jobs.len(),
+        "data": data,
+    });
+    Ok(answer::json(200, &body))
+}
+
+/// A team's jobs, newest first.
+fn jobs_of(context: &InstanceContext, team: &TeamId) -> Vec<JobId> {
+    let mut jobs = Vec::new();
+    for shard in (0..SHARD_COUNT).map(ShardId) {
+        let ledger = context.state.shard(shard);
+        let own = ledger.jobs().filter(|(_, state)| state.team == *team);
+        jobs.extend(own.map(|(job, state)| (Reverse(state.submitted_ms), job.clone())));
+    }
+    jobs.sort();
+    jobs.into_iter().map(|(_, job)| job).collect()
+}
+
 /// Handles a query for a job's state.
 pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    Ok(answer::json(200, &view(&context, &job)?))
+    Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
-/// Handles a query for a job's results, as a stream of JSON lines.
+/// Handles a query for a job's results.
 pub async fn results(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    let plan = with_job(&context, &job, ResultPlan::new)?;
+    results_of(&context, &team, job)
+}
+
+/// The results of a job, as a stream of JSON lines.
+pub fn results_of(context: &Arc<InstanceContext>, team: &TeamId, job: JobId) -> Result<Response> {
+    let plan = with_job(context, team, &job, ResultPlan::new)?;
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
     context
         .work
@@ -53,8 +122,9 @@
 
 /// Handles a cancel.
 pub async fn cancel(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    with_job(&context, &job, |_| ())?;
+    with_job(&context, &team, &job, |_| ())?;
     let command: CommandId = format!("cancel-{:016x}", rand::random::<u64>())
         .parse()
         .expect("a valid identifier");
@@ -62,28 +132,29 @@
         job: job.clone(),
         command,
     };
-    let offset = context.committer.submit(vec![record], COMMIT_LIMIT).await?;
-    if !context.state.wait_folded(offset, COMMIT_LIMIT).await {
-        let message = "the cancel is on the log but was not read back in time";
-        return Err(CallError::new(ErrorKind::OutcomeUnknown, message));
-    }
-    Ok(answer::json(200, &view(&context, &job)?))
+    commit(&context, record, "cancel").await?;
+    Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
 /// A job as batch clients expect it.
-pub fn view(context: &InstanceContext, job: &JobId) -> Result<Value> {
-    with_job(context, job, |state| {
+pub fn view(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<Value> {
+    with_job(context, team, job, |state| {
         let report = state.report(job);
         let status = match report.phase {
             JobPhase::InProgress => "in_progress",
             JobPhase::Completed => "completed",
             JobPhase::Cancelled => "cancelled",
         };
+        let ended = report.phase != JobPhase::InProgress;
         json!({
             "id": job,
             "object": "batch",
-            "endpoint": "/v1/chat/completions",
+            "endpoint": ITEM_ENDPOINT,
             "status": status,
+            "input_file_id": files::input_name(job),
+            "output_file_id": ended.then(|| files::output_name(job)),
+            "error_file_id": null,
+            "completion_window": window(state),
             "created_at": state.submitted_ms / 1_000,
             "expires_at": state.deadline_ms / 1_000,
             "request_counts": {
@@ -96,18 +167,26 @@
     })
 }
 
+fn window(state: &JobState) -> String {
+    let ms = state.deadline_ms.saturating_sub(state.submitted_ms);
+    // The two clock readings lie a little apart, so the window is shown in whole seconds.
+    TimeSpan::from_millis((ms + 500) / 1_000 * 1_000).to_string()
+}
+
 fn parse_job(text: &str) -> Result<JobId> {
     let not_found = |_| CallError::new(ErrorKind::NotFound, "no such batch");
     text.parse().map_err(not_found)
 }
 
-fn with_job<T>(
+/// Looks at a job of a team; the jobs of others are unknown to it.
+pub fn with_job<T>(
     context: &InstanceContext,
+    team: &TeamId,
     job: &JobId,
     look: impl FnOnce(&JobState) -> T,
 ) -> Result<T> {
     let shard = context.state.shard_for(job);
-    match shard.get(job) {
+    match shard.get(job).filter(|state| state.team == *team) {
         Some(state) => Ok(look(state)),
         None => Err(CallError::new(ErrorKind::NotFound, "no such batch")),
     }
@@ -115,17 +194,29 @@
 
 /// What has to be read from the log for the results of a job.
 struct ResultPlan {
+    upload: u64,
     ranges: Vec<ItemRange>,
-    offsets: Vec<LogOffset>,
+    results: Vec<ResultEntry>,
+    finished: ItemBitmap,
 }
 
 impl ResultPlan {
     fn new(state: &JobState) -> Self {
         Self {
+            upload: state.upload,
             ranges: state.ranges.clone(),
-            offsets: state.result_offsets.clone(),
+            results: state.results.clone(),
+            finished: state.finished.clone(),
         }
     }
+
+    /// Entries that may hold results of these items.
+    fn entries(&self, indexes: &Range<u32>) -> Vec<LogOffset> {
+        let within =
+            |entry: &&ResultEntry| entry.first < indexes.end && entry.last >= indexes.start;
+        let entries = self.results.iter().filter(within);
+        entries.map(|entry| entry.offset).collect()
+    }
 }
 
 type Piece = std::result::Result<Frame<Bytes>, volo_http::error::BoxError>;
@@ -141,32 +232,57 @@
     }
 }
 
-/// Sends the first result of each item, in the order of the items.
+/// Sends the first result of each item, in the order of the items, a part at a time.
 async fn copy_results(
     context: &InstanceContext,
     job: &JobId,
     plan: &ResultPlan,
     sender: &mpsc::Sender<Piece>,
 ) -> Result<()> {
+    for range in &plan.ranges {
+        let end = range.first + range.count;
+        for start in (range.first..end).step_by(PART_ITEMS as usize) {
+            let indexes = start..end.min(start + PART_ITEMS);
+            let piece = ItemPiece {
+                job: job.clone(),
+                upload: plan.upload,
+                range: *range,
+            };
+            let part = read_part(context, &piece, plan, indexes).await?;
+            if !part.is_empty() && sender.send(Ok(Frame::data(part.into()))).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The lines of some items of one piece.
+async fn read_part(
+    context: &InstanceContext,
+    piece: &ItemPiece,
+    plan: &ResultPlan,
+    indexes: Range<u32>,
+) -> Result<Vec<u8>> {
     let mut first: HashMap<u32, ItemOutcome> = HashMap::new();
-    for offset in &plan.offsets {
-        for outcome in context.items.outcomes(*offset, job).await? {
+    for offset in plan.entries(&indexes) {
+        for outcome in context.items.outcomes(offset, &piece.job, &indexes).await? {
             first.entry(outcome.index).or_insert(outcome);
         }
     }
-    for range in &plan.ranges {
-        let items = context.items.items(range.offset, job, range.first).await?;
-        let mut piece = Vec::new();
-        for (index, item) in (range.first..).zip(&items) {
-            if let Some(outcome) = first.remove(&index) {
-                write_line(&mut piece, job, &item.custom_id, &outcome);
-            }
-        }
-        if sender.send(Ok(Frame::data(piece.into()))).await.is_err() {
-            return Ok(());
+    // An entry may also hold results that came after the job was cancelled.
+    first.retain(|index, _| plan.finished.contains(*index));
+    let mut lines = Vec::new();
+    if first.is_empty() {
+        return Ok(lines);
+    }
+    let items = context.items.items(piece, indexes.clone()).await?;
+    for (index, item) in indexes.zip(&items) {
+        if let Some(outcome) = first.remove(&index) {
+            write_line(&mut lines, &piece.job, &item.custom_id, &outcome);
         }
     }
-    Ok(())
+    Ok(lines)
 }
 
 fn write_line(piece: &mut Vec<u8>, job: &JobId, custom_id: &str, outcome: &ItemOutcome) {
