Run and check a whole fleet in one process

Cause: trying the system took several processes started by hand, and nothing checked its promises in one run.

Change: amaranth-local SETTINGS starts platform, upstreams and instances as tasks on loopback ports, drives online callers of every tier, three batch jobs (two to their end, sent twice, with items that can never be done; one cancelled), a setting, a leaving upstream and a planned stop, and checks each answer, result and count. A check that did not happen is shown as 0 checked.

--- a/crates/net/src/telemetry.rs
+++ b/crates/net/src/telemetry.rs
@@ -9,7 +9,12 @@
 
 /// Starts logging to stderr: one line of key=value pairs for each event, filtered by `RUST_LOG`.
 pub fn init_logs() {
-    let env = env_logger::Env::default().default_filter_or("info,volo=warn,volo_http=warn");
+    init_logs_at("info,volo=warn,volo_http=warn");
+}
+
+/// Starts logging like [`init_logs`] with another filter for when `RUST_LOG` is not set.
+pub fn init_logs_at(filter: &str) {
+    let env = env_logger::Env::default().default_filter_or(filter);
     let _ = env_logger::Builder::from_env(env)
         .format(|buf, record| {
             let time = buf.timestamp_millis();
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -243,6 +243,22 @@
         started
     }
 
+    /// Requests that it was asked since the start, taken in or not.
+    pub fn asked(&self) -> u64 {
+        let core = self.core();
+        core.counts.requests + core.counts.refused
+    }
+
+    /// Shows itself as leaving, or not, as after an order.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.core().status.leaving = leaving;
+    }
+
+    /// Streams that wait or run and whose prompt starts so.
+    pub fn open_streams(&self, prefix: &str) -> usize {
+        self.core().batch.open_streams(prefix)
+    }
+
     /// What it says of itself on the platform's list.
     pub fn row(&self) -> ListedUpstream {
         ListedUpstream {
--- a/crates/standin/src/engine_batch.rs
+++ b/crates/standin/src/engine_batch.rs
@@ -92,6 +92,15 @@
         self.speed.slots
     }
 
+    /// Streams that wait or run and whose prompt starts so.
+    pub fn open_streams(&self, prefix: &str) -> usize {
+        let running = self.running.iter().map(|running| &running.stream);
+        let open = self.waiting.iter().chain(running);
+        let open = open.filter(|stream| stream.progress().end.is_none());
+        open.filter(|stream| stream.request.prompt.starts_with(prefix))
+            .count()
+    }
+
     /// Duration of the last step.
     pub fn last_step(&self) -> Duration {
         self.last_step
--- a/crates/standin/src/engine_cli.rs
+++ b/crates/standin/src/engine_cli.rs
@@ -1,22 +1,19 @@
 //! Command line of `amaranth-engine`.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_net::cli::{self, CliAction, Result};
 use amaranth_net::exit_codes::ExitCode;
 use amaranth_net::telemetry;
 use amaranth_settings::upstream::UpstreamKind;
-use amaranth_wire::engine::ListedUpstream;
 use amaranth_wire::unit::TimeSpan;
 use lexopt::prelude::*;
-use tokio_util::sync::CancellationToken;
 
-use crate::engine::{EngineProfile, EngineState};
-use crate::service::{ServiceProfile, ServiceState};
-use crate::serving::{ServedRouter, run_until_signal};
-use crate::{engine_routes, registration, service};
+use crate::engine::EngineProfile;
+use crate::service::ServiceProfile;
+use crate::serving::run_until_signal;
+use crate::upstream_start::{start_engine, start_service};
 
 const PROGRAM: &str = "amaranth-engine";
 const HELP: &str = "\
@@ -125,7 +122,7 @@
     telemetry::init_metrics();
     let listen = options.listen;
     run_until_signal(PROGRAM, listen, |stop| match options.kind {
-        UpstreamKind::Engine => start_engine(options.profile, options.platform, stop),
+        UpstreamKind::Engine => start_engine(options.profile, options.platform, stop).served,
         UpstreamKind::Service => {
             let profile = ServiceProfile {
                 name: options.profile.name,
@@ -133,45 +130,7 @@
                 slots: options.profile.speed.slots,
                 report_lag: options.profile.report_lag,
             };
-            start_service(profile, options.platform, stop)
+            start_service(profile, options.platform, stop).served
         }
     })
 }
-
-/// Starts an engine's tasks and returns what it serves.
-pub fn start_engine(
-    profile: EngineProfile,
-    platform: Option<SocketAddr>,
-    stop: CancellationToken,
-) -> ServedRouter {
-    let state = Arc::new(EngineState::new(profile, stop.clone()));
-    tokio::spawn(state.clone().run());
-    if let Some(platform) = platform {
-        let reporter = state.clone();
-        tokio::spawn(registration::run(platform, move || reporter.row(), stop));
-    }
-    ServedRouter {
-        router: engine_routes::router(&state),
-        on_accept: Some(state.panel.gate.accept_hook()),
-    }
-}
-
-/// Starts a service's tasks and returns what it serves.
-pub fn start_service(
-    profile: ServiceProfile,
-    platform: Option<SocketAddr>,
-    stop: CancellationToken,
-) -> ServedRouter {
-    let row = ListedUpstream {
-        upstream: profile.name.clone(),
-        leaving: false,
-    };
-    let state = Arc::new(ServiceState::new(profile));
-    if let Some(platform) = platform {
-        tokio::spawn(registration::run(platform, move || row.clone(), stop));
-    }
-    ServedRouter {
-        router: service::router(&state),
-        on_accept: Some(state.panel.gate.accept_hook()),
-    }
-}
--- a/crates/standin/src/load_call.rs
+++ b/crates/standin/src/load_call.rs
@@ -68,6 +68,13 @@
     Silent,
 }
 
+impl CallEnd {
+    /// Whether the call was refused with the claim that nothing ran.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Refused { ran, .. } if ran == "no")
+    }
+}
+
 /// What came of a call. Times are microseconds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallReport {
@@ -167,7 +174,8 @@
     }
 }
 
-fn failure(e: &HttpError) -> CallEnd {
+/// How a call that failed without an answer ended.
+pub fn failure(e: &HttpError) -> CallEnd {
     match e {
         HttpError::Connect(_) => CallEnd::NotConnected,
         HttpError::Silent => CallEnd::Silent,
@@ -175,18 +183,21 @@
     }
 }
 
+/// How a call that was answered with an error ended.
+pub fn refusal(status: u16, body: &[u8]) -> CallEnd {
+    let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    let error = &body["error"];
+    let kind = error["kind"].as_str();
+    CallEnd::Refused {
+        kind: kind.map_or_else(|| status.to_string(), str::to_owned),
+        ran: error["ran"].as_str().unwrap_or("unknown").to_owned(),
+    }
+}
+
 async fn read_refusal(answer: HttpAnswer) -> CallEnd {
     let status = answer.status();
     match answer.read_all().await {
-        Ok(body) => {
-            let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-            let error = &body["error"];
-            let kind = error["kind"].as_str();
-            CallEnd::Refused {
-                kind: kind.map_or_else(|| status.to_string(), str::to_owned),
-                ran: error["ran"].as_str().unwrap_or("unknown").to_owned(),
-            }
-        }
+        Ok(body) => refusal(status, &body),
         Err(e) => failure(&e),
     }
 }
--- a/crates/standin/src/load_stats.rs
+++ b/crates/standin/src/load_stats.rs
@@ -110,14 +110,27 @@
         self.doubled += u64::from(report.doubled);
         match &report.end {
             CallEnd::Complete => self.add_complete(report),
-            CallEnd::Refused { kind, ran } => self.add_failure(format!("{kind} ran={ran}")),
-            CallEnd::NotConnected => self.add_failure("not_connected".to_owned()),
-            CallEnd::Broken => self.add_failure("broken".to_owned()),
-            CallEnd::Silent => self.add_failure("silent".to_owned()),
+            end => self.add_failure(end),
         }
     }
 
-    fn add_failure(&mut self, kind: String) {
+    /// Adds one call whose answer is not a stream.
+    pub fn add_plain(&mut self, end: &CallEnd) {
+        self.calls += 1;
+        match end {
+            CallEnd::Complete => self.complete += 1,
+            end => self.add_failure(end),
+        }
+    }
+
+    fn add_failure(&mut self, end: &CallEnd) {
+        let kind = match end {
+            CallEnd::Complete => return,
+            CallEnd::Refused { kind, ran } => format!("{kind} ran={ran}"),
+            CallEnd::NotConnected => "not_connected".to_owned(),
+            CallEnd::Broken => "broken".to_owned(),
+            CallEnd::Silent => "silent".to_owned(),
+        };
         *self.failed.entry(kind).or_default() += 1;
     }
 
--- /dev/null
+++ b/crates/standin/src/local_online.rs
@@ -0,0 +1,206 @@
+//! Online callers of a checked run: streamed completions and service calls.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_net::client::{CallLimits, HttpCall};
+use amaranth_settings::tier::TierSettings;
+use amaranth_settings::upstream::UpstreamKind;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use rand::RngExt;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::load_call::{CallEnd, CallReport, LoadCall, LoadTarget, failure, refusal};
+use crate::load_stats::LoadStats;
+use crate::local_fleet::LocalFleet;
+use crate::local_promises::{Promise, PromiseBook};
+use crate::service::{ServiceAnswer, body_hash};
+
+/// Callers of each tier.
+const CALLERS: usize = 24;
+/// Longest pause of a caller between two calls, in milliseconds.
+const MAX_PAUSE_MS: u64 = 200;
+/// Tokens of an answer, at least and at most.
+const TOKENS: (u32, u32) = (8, 48);
+/// Longest wait for the head of an answer and between two tokens.
+const CALL_LIMITS: CallLimits = CallLimits::new(Duration::from_secs(30));
+
+/// A call of a service that was refused as not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefusedCall {
+    /// Its key.
+    pub key: String,
+}
+
+/// The callers and what they measured.
+pub struct OnlineCallers {
+    fleet: Arc<LocalFleet>,
+    book: Arc<PromiseBook>,
+    stop: CancellationToken,
+    tasks: JoinSet<(String, LoadStats)>,
+    refused: Arc<Mutex<Vec<RefusedCall>>>,
+}
+
+impl OnlineCallers {
+    /// Starts the callers of every tier that takes no batches.
+    pub fn start(fleet: &Arc<LocalFleet>, book: &Arc<PromiseBook>) -> Self {
+        let mut callers = Self {
+            fleet: fleet.clone(),
+            book: book.clone(),
+            stop: CancellationToken::new(),
+            tasks: JoinSet::new(),
+            refused: Arc::default(),
+        };
+        let tiers = fleet.settings.tiers.iter().filter(|tier| !tier.batch);
+        for tier in tiers {
+            for _ in 0..CALLERS {
+                callers.start_caller(tier);
+            }
+        }
+        callers
+    }
+
+    fn start_caller(&mut self, tier: &TierSettings) {
+        let (fleet, book) = (self.fleet.clone(), self.book.clone());
+        let (stop, refused) = (self.stop.clone(), self.refused.clone());
+        let (name, tier) = (tier.name.to_string(), tier.clone());
+        let group = fleet.settings.group(&tier.upstreams);
+        let kind = group.map(|group| group.kind);
+        let model = group.and_then(|group| group.model.as_ref());
+        let model = model.map_or_else(String::new, |model| model.to_string());
+        self.tasks.spawn(async move {
+            let mut stats = LoadStats::default();
+            while !stop.is_cancelled() {
+                match kind {
+                    Some(UpstreamKind::Engine) => {
+                        let report = complete(&fleet, &book, &tier, &model).await;
+                        stats.add(&report);
+                    }
+                    _ => {
+                        let end = call_service(&fleet, &book, &tier, &refused).await;
+                        stats.add_plain(&end);
+                    }
+                }
+                let pause = rand::rng().random_range(0..MAX_PAUSE_MS);
+                sleep(Duration::from_millis(pause)).await;
+            }
+            (name, stats)
+        });
+    }
+
+    /// Ends the callers after their current calls, checks what only shows at the end, and returns
+    /// the measurements by tier.
+    pub async fn finish(mut self) -> Vec<(String, LoadStats)> {
+        self.stop.cancel();
+        let mut tiers: Vec<(String, LoadStats)> = Vec::new();
+        while let Some(Ok((name, stats))) = self.tasks.join_next().await {
+            match tiers.iter_mut().find(|(known, _)| *known == name) {
+                Some((_, all)) => all.merge(&stats),
+                None => tiers.push((name, stats)),
+            }
+        }
+        self.check_refused();
+        tiers.retain(|(_, stats)| stats.calls > 0);
+        tiers.sort_by(|(a, _), (b, _)| a.cmp(b));
+        tiers
+    }
+
+    fn check_refused(&self) {
+        for call in self.refused.lock().expect("not poisoned").iter() {
+            let runs = runs_of(&self.fleet, &call.key);
+            self.book.check(Promise::NotRunTrue, runs == 0, || {
+                format!("{} was refused as not run and ran {runs} times", call.key)
+            });
+        }
+    }
+}
+
+async fn complete(
+    fleet: &LocalFleet,
+    book: &PromiseBook,
+    tier: &TierSettings,
+    model: &str,
+) -> CallReport {
+    let instance = fleet.pick();
+    let target = LoadTarget::new("local", instance.address, model)
+        .with_header("amaranth-tier", tier.name.as_str());
+    let call = LoadCall {
+        prompt: format!("roof {:016x}", rand::random::<u64>()),
+        tokens: rand::rng().random_range(TOKENS.0..=TOKENS.1),
+        limits: CALL_LIMITS,
+    };
+    let report = call.run(&fleet.client, &target).await;
+    let is_right = report.wrong + report.lost + report.doubled == 0;
+    if !report.end.is_not_run() {
+        let is_whole = is_right && report.end == CallEnd::Complete;
+        book.check(Promise::OnlineWhole, is_whole, || {
+            format!("{}: {:?} from {}", call.prompt, report.end, instance.name)
+        });
+    }
+    report
+}
+
+/// How often the services ran calls with a key.
+fn runs_of(fleet: &LocalFleet, key: &str) -> u64 {
+    let services = fleet.services.iter();
+    services.map(|(_, state)| state.calls_of(key).runs).sum()
+}
+
+async fn call_service(
+    fleet: &LocalFleet,
+    book: &PromiseBook,
+    tier: &TierSettings,
+    refused: &Mutex<Vec<RefusedCall>>,
+) -> CallEnd {
+    let key = format!("call-{:016x}", rand::random::<u64>());
+    let path = format!("/v1/services/{}/orders?item=17", tier.name);
+    let body = json!({"key": key}).to_string();
+    let call = HttpCall::post(fleet.pick().address, path)
+        .with_headers(service_headers(&key))
+        .with_body(body.clone());
+    let answer = fleet.client.fetch(call, CALL_LIMITS).await;
+    let runs = runs_of(fleet, &key);
+    if runs > 0 {
+        book.check(Promise::AtMostOnce, runs == 1, || {
+            format!("{key} ran {runs} times")
+        });
+    }
+    let end = match answer {
+        Ok((200, text)) => {
+            let answer = serde_json::from_slice::<ServiceAnswer>(&text);
+            let is_own = answer.is_ok_and(|answer| {
+                answer.key.as_deref() == Some(&key)
+                    && answer.body_hash == body_hash(body.as_bytes())
+            });
+            book.check(Promise::OnlineWhole, is_own, || {
+                format!("{key} got {}", String::from_utf8_lossy(&text))
+            });
+            return CallEnd::Complete;
+        }
+        Ok((status, text)) => refusal(status, &text),
+        Err(e) => failure(&e),
+    };
+    if end.is_not_run() {
+        let mut refused = refused.lock().expect("not poisoned");
+        refused.push(RefusedCall { key });
+    } else {
+        book.check(Promise::OnlineWhole, false, || format!("{key}: {end:?}"));
+    }
+    end
+}
+
+fn service_headers(key: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("content-type", "application/json"),
+        ("idempotency-key", key),
+        ("amaranth-repeatable", "false"),
+    ] {
+        let value = HeaderValue::from_str(value).expect("keys are hexadecimal");
+        headers.insert(HeaderName::from_static(name), value);
+    }
+    headers
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// What it ran for one key.
+    pub fn calls_of(&self, key: &str) -> ServiceCalls {
+        let calls = self.calls.lock().expect("not poisoned");
+        let row = calls.by_key.get(key).cloned();
+        row.unwrap_or(ServiceCalls {
+            runs: 0,
+            answer: None,
+        })
+    }
+
     /// Runs a call to its end, whether the caller still waits or not.
     async fn run(self: Arc<Self>, mut answer: ServiceAnswer, faults: EngineFaults) -> RunOutcome {
         self.calls.lock().expect("not poisoned").waiting += 1;
@@ -223,13 +233,7 @@
 
 /// Answers whatever faults are in force: the tests' own account.
 async fn calls(state: Arc<ServiceState>, request: RouteRequest) -> answer::Result<Response> {
-    let calls = state.calls.lock().expect("not poisoned");
-    let row = calls.by_key.get(request.param(0)).cloned();
-    let none = ServiceCalls {
-        runs: 0,
-        answer: None,
-    };
-    Ok(answer::json(200, &row.unwrap_or(none)))
+    Ok(answer::json(200, &state.calls_of(request.param(0))))
 }
 
 async fn totals(state: Arc<ServiceState>, _: RouteRequest) -> answer::Result<Response> {
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -49,7 +49,8 @@
     }
 }
 
-fn wait_for_signal() -> impl Future<Output = ()> {
+/// Waits until the process is told to stop.
+pub fn wait_for_signal() -> impl Future<Output = ()> {
     let terminate = signal(SignalKind::terminate());
     let interrupt = signal(SignalKind::interrupt());
     async move {
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -10,10 +10,10 @@
 use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpClient, Result};
 use amaranth_net::server;
 use amaranth_standin::engine::EngineProfile;
-use amaranth_standin::engine_cli::{start_engine, start_service};
 use amaranth_standin::platform::{self, PlatformProfile, PlatformState};
 use amaranth_standin::service::ServiceProfile;
 use amaranth_standin::serving::ServedRouter;
+use amaranth_standin::upstream_start::{start_engine, start_service};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -34,13 +34,13 @@
     /// Serves an engine.
     pub async fn engine(profile: EngineProfile) -> Self {
         let stop = CancellationToken::new();
-        Self::serve(start_engine(profile, None, stop.clone()), stop).await
+        Self::serve(start_engine(profile, None, stop.clone()).served, stop).await
     }
 
     /// Serves a plain service.
     pub async fn service(profile: ServiceProfile) -> Self {
         let stop = CancellationToken::new();
-        Self::serve(start_service(profile, None, stop.clone()), stop).await
+        Self::serve(start_service(profile, None, stop.clone()).served, stop).await
     }
 
     /// Serves a platform.
