--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -14,12 +14,16 @@
 
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, files, gossip, models, operator};
+use crate::{
+    accept, batch_intake, batch_view, files, gossip, log_relay, models, operator, operator_command,
+    operator_peers, operator_query,
+};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
     let router = caller_routes(context, Router::new());
     let router = operator_routes(context, router);
+    let router = peer_routes(context, router);
     router
         .route("/livez", only(context, "GET", get(handler(context, live))))
         .route(
@@ -60,16 +64,36 @@
         .route("/v1/batches/{id}/cancel", only(context, "POST", cancel))
 }
 
-/// Paths of operators and peers.
+/// Paths of operators.
 fn operator_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let instance = get(handler(context, metered(operator::instance)));
     let config = get(handler(context, metered(operator::show_config)));
     let config = config.post(handler(context, metered(operator::set_config)));
-    let exchange = post(handler(context, gossip::handle));
+    let query = post(handler(context, metered(operator_query::query)));
+    let command = post(handler(context, metered(operator_command::command)));
+    let ask_again = get(handler(context, metered(operator_command::ask_again)));
     router
-        .route(GOSSIP_PATH, only(context, "POST", exchange))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
+        .route("/v1/operator/query", only(context, "POST", query))
+        .route("/v1/operator/command", only(context, "POST", command))
+        .route(
+            "/v1/operator/commands/{id}",
+            only(context, "GET", ask_again),
+        )
+}
+
+/// Paths of peers.
+fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
+    let exchange = post(handler(context, gossip::handle));
+    let entries = get(handler(context, log_relay::entries));
+    let changes = get(handler(context, log_relay::changes));
+    let rows = post(handler(context, operator_peers::answer_question));
+    router
+        .route(GOSSIP_PATH, only(context, "POST", exchange))
+        .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
+        .route(log_relay::PEER_CHANGES_PATH, only(context, "GET", changes))
+        .route(operator_peers::PEER_ROWS_PATH, only(context, "POST", rows))
 }
 
 /// Refuses every method that the route has no handler for.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,17 +2,22 @@
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
 pub mod bitmap;
+pub mod change_state;
 pub mod commit;
 pub mod config_state;
 pub mod cursor;
+pub mod decision_log;
 pub mod file_table;
 pub mod hashing;
+pub mod language;
 pub mod lease;
 pub mod ledger;
 pub mod log_clock;
 pub mod log_source;
 pub mod membership;
+pub mod plan_state;
 pub mod plugin;
 pub mod quota;
 pub mod routing;
+pub mod setting_table;
 pub mod subset;
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -33,10 +33,11 @@
 async fn runs(fleet: &TestFleet) -> u64 {
     let mut sum = 0;
     for engine in &fleet.engines {
-        let call = HttpCall::get(engine.address, "/engine/load");
+        let call = HttpCall::get(engine.address, "/engine/counts");
         let limits = CallLimits::new(Duration::from_secs(5));
-        let load: Value = fleet.client.fetch_json(call, limits).await.expect("a load");
-        sum += load["served"].as_u64().expect("a count");
+        let counts = fleet.client.fetch_json(call, limits).await;
+        let counts: Value = counts.expect("counts");
+        sum += counts["requests"].as_u64().expect("a count");
     }
     sum
 }
