--- a/crates/standin/src/load_call.rs
+++ b/crates/standin/src/load_call.rs
@@ -20,8 +20,8 @@
 pub struct LoadTarget {
     /// Its name in reports.
     pub name: String,
-    /// Its address.
-    pub address: SocketAddr,
+    /// Its addresses, called in turns.
+    pub addresses: Vec<SocketAddr>,
     /// The model to ask for.
     pub model: String,
     /// Headers besides the content type.
@@ -33,12 +33,23 @@
     pub fn new(name: impl Into<String>, address: SocketAddr, model: impl Into<String>) -> Self {
         Self {
             name: name.into(),
-            address,
+            addresses: vec![address],
             model: model.into(),
             headers: HeaderMap::new(),
         }
     }
 
+    /// Adds an address.
+    pub fn with_address(mut self, address: SocketAddr) -> Self {
+        self.addresses.push(address);
+        self
+    }
+
+    /// The address for the call of this number.
+    pub fn address(&self, number: u64) -> SocketAddr {
+        self.addresses[(number % self.addresses.len() as u64) as usize]
+    }
+
     /// Adds a header; one that is not valid is left out.
     pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(value) {
@@ -103,6 +114,8 @@
 /// One call to make.
 #[derive(Debug, Clone)]
 pub struct LoadCall {
+    /// Its number; decides which of the target's addresses is called.
+    pub number: u64,
     /// The prompt.
     pub prompt: String,
     /// Tokens to ask for.
@@ -161,7 +174,7 @@
 
     /// Makes the call.
     pub async fn run(&self, client: &HttpClient, target: &LoadTarget) -> CallReport {
-        let call = HttpCall::post(target.address, CHAT_PATH)
+        let call = HttpCall::post(target.address(self.number), CHAT_PATH)
             .with_headers(target.headers.clone())
             .with_body(self.body(&target.model));
         let mut checker = TokenChecker::new(self);
--- a/crates/standin/src/load_cli.rs
+++ b/crates/standin/src/load_cli.rs
@@ -21,7 +21,7 @@
 Usage: amaranth-load --target <IP:PORT> [OPTIONS]
 
 Options:
-      --target <IP:PORT>      An engine stand-in or an instance
+      --target <IP:PORT>      An engine stand-in or an instance; given again, they take turns
       --through <IP:PORT>     A second address that is compared with the first
       --model <NAME>          The model to ask for [default: sketch-llm]
       --tier <NAME>           Tier that is named to the second address [default: none]
@@ -50,7 +50,7 @@
 
 /// What the command line says before it is complete.
 struct LoadArgs {
-    target: Option<SocketAddr>,
+    targets: Vec<SocketAddr>,
     through: Option<SocketAddr>,
     model: String,
     tier: Option<String>,
@@ -66,7 +66,7 @@
 
 fn parse(mut parser: lexopt::Parser) -> Result<CliAction<LoadOptions>> {
     let mut args = LoadArgs {
-        target: None,
+        targets: Vec::new(),
         through: None,
         model: "sketch-llm".to_owned(),
         tier: None,
@@ -89,7 +89,7 @@
     while let Some(arg) = parser.next()? {
         let plan = &mut args.plan;
         match arg {
-            Long("target") => args.target = Some(parser.value()?.parse()?),
+            Long("target") => args.targets.push(parser.value()?.parse()?),
             Long("through") => args.through = Some(parser.value()?.parse()?),
             Long("model") => args.model = parser.value()?.string()?,
             Long("tier") => args.tier = Some(parser.value()?.string()?),
@@ -116,9 +116,13 @@
 
 impl LoadArgs {
     fn complete(mut self) -> Result<LoadOptions> {
-        let target = self.target.ok_or(UsageError::Missing("--target"))?;
+        let Some((&first, others)) = self.targets.split_first() else {
+            return Err(UsageError::Missing("--target"));
+        };
+        let direct = LoadTarget::new("direct", first, &self.model);
+        let others = others.iter().copied();
         let targets = &mut self.plan.targets;
-        targets.push(LoadTarget::new("direct", target, &self.model));
+        targets.push(others.fold(direct, LoadTarget::with_address));
         if let Some(through) = self.through {
             let mut target = LoadTarget::new("through", through, &self.model);
             if let Some(tier) = &self.tier {
--- a/crates/standin/src/load_run.rs
+++ b/crates/standin/src/load_run.rs
@@ -196,6 +196,7 @@
         let missing = self.plan.prompt_bytes.saturating_sub(prompt.len());
         prompt.extend(std::iter::repeat_n('x', missing));
         Some(LoadCall {
+            number,
             prompt,
             tokens: self.plan.tokens,
             limits: CallLimits::new(CALL_LIMIT),
--- a/crates/standin/src/local_online.rs
+++ b/crates/standin/src/local_online.rs
@@ -128,6 +128,7 @@
     let target = LoadTarget::new("local", instance.address, model)
         .with_header("amaranth-tier", tier.name.as_str());
     let call = LoadCall {
+        number: 0,
         prompt: format!("roof {:016x}", rand::random::<u64>()),
         tokens: rand::rng().random_range(TOKENS.0..=TOKENS.1),
         limits: CALL_LIMITS,
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -80,6 +80,7 @@
         ),
     ];
     let call = LoadCall {
+        number: 0,
         prompt: PROMPT.to_owned(),
         tokens: 3,
         limits: CallLimits::new(PATIENCE),
@@ -104,6 +105,7 @@
     let engine = TestStandin::engine(EngineProfile::default()).await;
     let target = LoadTarget::new("engine", engine.address, "other");
     let call = LoadCall {
+        number: 0,
         prompt: PROMPT.to_owned(),
         tokens: 3,
         limits: CallLimits::new(PATIENCE),
