--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admit::AdmissionDesk;
 use crate::call_meter::CallMeter;
 use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
@@ -50,6 +51,8 @@
     pub callers: CallerKeys,
     /// Calls in progress.
     pub calls: CallMeter,
+    /// Online requests that wait for room.
+    pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
     /// When the other instances were last heard.
@@ -83,6 +86,7 @@
             members: MemberTable::default(),
             sights: PeerSights::default(),
             relay: LogRelay::default(),
+            admission: AdmissionDesk::new(&config.fleet),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,12 +1,15 @@
 //! Decisions and the state folded from the log. Pure: time, randomness and membership come in as
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
+pub mod admission_queue;
 pub mod bitmap;
 pub mod change_state;
 pub mod commit;
+pub mod concurrency_limit;
 pub mod config_state;
 pub mod cursor;
 pub mod decision_log;
+pub mod ejection;
 pub mod file_table;
 pub mod hashing;
 pub mod language;
@@ -18,6 +21,9 @@
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
+pub mod retry;
 pub mod routing;
 pub mod setting_table;
+pub mod stream_assembly;
 pub mod subset;
+pub mod upstream_load;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -72,6 +72,8 @@
     pub operators: Vec<OperatorSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
+    /// Name of the routing policy of online requests.
+    pub routing: String,
 }
 
 impl FleetSettings {
@@ -119,6 +121,7 @@
         let teams = section.sections("teams", TeamSettings::decode);
         let operators = section.sections("operators", OperatorSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
+        let routing = section.text_or("routing", "prefix_affinity".to_owned());
         let settings = Self {
             fleet: fleet?,
             data_centres: data_centres?,
@@ -129,6 +132,7 @@
             teams: teams?,
             operators: operators?,
             bodies: bodies.unwrap_or_else(default_bodies),
+            routing: routing?,
         };
         settings.check(section);
         Some(settings)
