--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -21,13 +21,19 @@
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
+use crate::log_reader::LogReader;
+use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
+use crate::operator_peers::PeerSights;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
 /// Longest wait for a connection to an upstream or peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time without a sight of the log's head after which an instance without peers is cut off.
+const CUT_OFF_MS: u64 = 10_000;
+
 /// Result of a call on an instance.
 pub type Result<T> = std::result::Result<T, CallError>;
 
@@ -59,6 +65,12 @@
     pub slots: Arc<BatchSlots>,
     /// The other instances.
     pub members: MemberTable,
+    /// When the other instances were last heard.
+    pub sights: PeerSights,
+    /// Reads of the log by way of relays.
+    pub reader: LogReader,
+    /// Recent entries of the log, for peers that cannot read it.
+    pub relay: LogRelay,
     /// What the other instances said of themselves.
     pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
@@ -84,6 +96,9 @@
             callers: CallerKeys::new(&config.fleet.teams),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            sights: PeerSights::default(),
+            reader: LogReader::default(),
+            relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
             gates: BatchGates::new(&config.fleet),
             slots: Arc::new(BatchSlots::new(&config.fleet)),
@@ -118,12 +133,25 @@
 
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.is_drained()
+    }
+
+    /// Whether an operator drains this instance.
+    pub fn is_drained(&self) -> bool {
+        let changes = self.state.changes();
+        changes.core().plans.drains_instance(&self.config.instance)
     }
 
     /// Whether the balancer may send new work here.
     pub fn is_ready(&self) -> bool {
-        self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
+        self.caught_up.load(Ordering::Acquire) && !self.is_leaving() && !self.is_cut_off()
+    }
+
+    /// Whether neither the log nor any other instance was reached for long. What is in force
+    /// elsewhere may have changed meanwhile.
+    pub fn is_cut_off(&self) -> bool {
+        let log_age_ms = self.relay.log_age_ms().unwrap_or(u64::MAX);
+        log_age_ms >= CUT_OFF_MS && self.gossip.is_alone()
     }
 
     /// Names of the instances that are listed as live and not believed gone, this one included
@@ -134,13 +162,14 @@
         live
     }
 
-    /// Refuses work before the log was folded. A leaving instance still accepts until the
+    /// Refuses work before the log was folded and while cut off. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
-        if self.caught_up.load(Ordering::Acquire) {
-            return Ok(());
-        }
-        let message = "this instance has not read the log yet";
+        let message = match (self.caught_up.load(Ordering::Acquire), self.is_cut_off()) {
+            (true, false) => return Ok(()),
+            (true, true) => "this instance reaches neither the log nor any other instance",
+            (false, _) => "this instance has not read the log yet",
+        };
         Err(CallError::new(ErrorKind::NotReady, message))
     }
 
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -6,11 +6,12 @@
 use amaranth_kernel::cursor::EntryVerdict;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::LogOffset;
-use amaranth_wire::platform::{RawEntry, ReadReply};
+use amaranth_wire::platform::RawEntry;
 use amaranth_wire::record::{BatchEntry, RecordBatch};
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
+use crate::log_relay::{self, RelayReply};
 use crate::state_source;
 
 /// Wait after a failed read.
@@ -27,12 +28,15 @@
 async fn follow(context: &InstanceContext) {
     loop {
         let from = context.state.folded();
-        match context.log.follow(from).await {
-            Ok(reply) if reply.oldest > from => recover(context, reply.oldest).await,
-            Ok(reply) => fold_reply(context, &reply),
+        match context.reader.follow(context, from).await {
+            Ok(relayed) if relayed.reply.oldest > from => {
+                recover(context, relayed.reply.oldest).await;
+            }
+            Ok(relayed) => fold_reply(context, &relayed),
             Err(e) => {
-                log::debug!("event=log_read_failed error={}", quote(&e.to_string()));
+                log::debug!("event=log_read_failed error={}", quote(&e.message));
                 start_from_peers(context).await;
+                log_relay::catch_up(context).await;
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -55,9 +59,12 @@
     }
 }
 
-fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+/// Folds what a read gave.
+pub fn fold_reply(context: &InstanceContext, relayed: &RelayReply) {
+    let reply = &relayed.reply;
     context.state.note_log_time(reply.now_ms);
     context.state.note_oldest(reply.oldest);
+    context.relay.note_read(relayed);
     reply
         .entries
         .iter()
@@ -73,7 +80,8 @@
         Err(e) => {
             let error = quote(&e.to_string());
             log::warn!("event=entry_rejected offset={} error={error}", raw.offset);
-            return context.state.skip(raw.offset);
+            let reason = e.to_string();
+            return context.state.reject(raw.offset, raw.time_ms, &reason);
         }
     };
     let entry = BatchEntry {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -16,7 +16,8 @@
 use crate::log_client::LogClient;
 use crate::shared_state::SharedState;
 use crate::{
-    admit, batch_asks, batch_gate, carrier, follower, gossip, load_poll, membership, owner, routes,
+    admit, batch_asks, batch_gate, carrier, follower, gossip, load_poll, membership, owner,
+    plan_watch, routes,
 };
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
@@ -54,6 +55,7 @@
     tokio::spawn(carrier::run(context.clone()));
     tokio::spawn(batch_gate::run(context.clone()));
     tokio::spawn(batch_asks::run(context.clone()));
+    tokio::spawn(plan_watch::run(context.clone()));
     tokio::spawn(load_poll::run(context.clone()));
     tokio::spawn(admit::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -16,13 +16,15 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_gate, batch_intake, batch_view, files, gossip, models, operator, state_source,
+    accept, batch_gate, batch_intake, batch_view, files, gossip, log_reader, log_relay, models,
+    operator, operator_command, operator_peers, operator_query, state_source,
 };
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
     let router = caller_routes(context, Router::new());
     let router = operator_routes(context, router);
+    let router = peer_routes(context, router);
     router
         .route("/livez", only(context, "GET", get(handler(context, live))))
         .route(
@@ -47,9 +49,9 @@
     let store = post(handler(context, metered(files::store)));
     let file = get(handler(context, metered(files::show)));
     let content = get(handler(context, metered(files::content)));
-    let service = any(handler(context, metered(accept::service)));
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
+    let service = any(handler(context, metered(accept::service)));
     router
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
@@ -65,22 +67,44 @@
         .route("/v1/batches/{id}/cancel", only(context, "POST", cancel))
 }
 
-/// Paths of operators and peers.
+/// Paths of operators.
 fn operator_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let instance = get(handler(context, metered(operator::instance)));
     let config = get(handler(context, metered(operator::show_config)));
     let config = config.post(handler(context, metered(operator::set_config)));
+    let query = post(handler(context, metered(operator_query::query)));
+    let command = post(handler(context, metered(operator_command::command)));
+    let ask_again = get(handler(context, metered(operator_command::ask_again)));
+    router
+        .route("/v1/operator/instance", only(context, "GET", instance))
+        .route("/v1/operator/config", only(context, "GET, POST", config))
+        .route("/v1/operator/query", only(context, "POST", query))
+        .route("/v1/operator/command", only(context, "POST", command))
+        .route(
+            "/v1/operator/commands/{id}",
+            only(context, "GET", ask_again),
+        )
+}
+
+/// Paths of peers.
+fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let exchange = post(handler(context, gossip::handle));
     let slots = post(handler(context, batch_gate::ask));
     let notice = post(handler(context, batch_gate::notice));
     let state = get(handler(context, state_source::hand_over));
+    let follow = get(handler(context, log_reader::serve));
+    let entries = get(handler(context, log_relay::entries));
+    let changes = get(handler(context, log_relay::changes));
+    let rows = post(handler(context, operator_peers::answer_question));
     router
         .route(state_source::STATE_PATH, only(context, "GET", state))
         .route(BATCH_SLOTS_PATH, only(context, "POST", slots))
         .route(ONLINE_NOTICE_PATH, only(context, "POST", notice))
         .route(GOSSIP_PATH, only(context, "POST", exchange))
-        .route("/v1/operator/instance", only(context, "GET", instance))
-        .route("/v1/operator/config", only(context, "GET, POST", config))
+        .route(log_reader::PEER_FOLLOW_PATH, only(context, "GET", follow))
+        .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
+        .route(log_relay::PEER_CHANGES_PATH, only(context, "GET", changes))
+        .route(operator_peers::PEER_ROWS_PATH, only(context, "POST", rows))
 }
 
 /// Refuses every method that the route has no handler for.
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -1,9 +1,11 @@
 //! State folded from the log, in parts with a lock each.
 
+use std::ops::Deref;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
+use amaranth_kernel::change_state::{ChangeSnapshot, ChangeState};
 use amaranth_kernel::config_state::ConfigState;
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
 use amaranth_kernel::file_table::FileTable;
@@ -30,6 +32,17 @@
     pub offset: LogOffset,
 }
 
+/// The configuration in force, for as long as it is looked at.
+pub struct ConfigGuard<'a>(RwLockReadGuard<'a, ChangeState>);
+
+impl Deref for ConfigGuard<'_> {
+    type Target = ConfigState;
+
+    fn deref(&self) -> &ConfigState {
+        &self.0.core().config
+    }
+}
+
 /// Everything that is folded from the log.
 pub struct SharedState {
     writer: WriterId,
@@ -37,7 +50,7 @@
     jobs: Vec<Mutex<JobLedger>>,
     files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
-    config: RwLock<ConfigState>,
+    changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
     clock: Mutex<LogClock>,
@@ -55,7 +68,7 @@
     jobs: J,
     files: S,
     leases: L,
-    config: F,
+    changes: F,
 }
 
 fn cloned<T: Clone>(shards: &[Mutex<T>]) -> Vec<T> {
@@ -71,8 +84,14 @@
     }
 }
 
-type OwnedImage =
-    StateImage<FoldCursor, OffsetTimes, Vec<JobLedger>, Vec<FileTable>, LeaseTable, ConfigState>;
+type OwnedImage = StateImage<
+    FoldCursor,
+    OffsetTimes,
+    Vec<JobLedger>,
+    Vec<FileTable>,
+    LeaseTable,
+    Option<ChangeSnapshot>,
+>;
 
 /// Result of taking over an image.
 pub type Result<T> = std::result::Result<T, rmp_serde::decode::Error>;
@@ -90,7 +109,7 @@
                 .collect(),
             files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
-            config: RwLock::new(ConfigState::default()),
+            changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
             clock: Mutex::new(LogClock::default()),
@@ -104,6 +123,7 @@
     pub fn fold(&self, entry: &BatchEntry) -> EntryVerdict {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         let verdict = cursor.admit(entry);
+        self.fold_changes(verdict, entry);
         if verdict == EntryVerdict::Apply {
             let records = &entry.batch.records;
             records
@@ -119,10 +139,13 @@
         verdict
     }
 
-    /// Moves over an entry that is not a batch.
-    pub fn skip(&self, offset: LogOffset) {
+    /// Moves over an entry that is not a batch and notes why.
+    pub fn reject(&self, offset: LogOffset, time_ms: u64, reason: &str) {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         cursor.skip(offset);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.reject_entry(offset, time_ms, reason);
+        drop(changes);
         self.folded.send_replace(cursor.next());
     }
 
@@ -131,6 +154,11 @@
         *self.folded.borrow()
     }
 
+    /// The offset to fold next, as it changes.
+    pub fn folded_watch(&self) -> watch::Receiver<LogOffset> {
+        self.folded.subscribe()
+    }
+
     /// Waits until the entry at this offset is folded. False when the wait runs out.
     pub async fn wait_folded(&self, offset: LogOffset, limit: Duration) -> bool {
         let mut folded = self.folded.subscribe();
@@ -153,7 +181,7 @@
             jobs: cloned(&self.jobs),
             files: cloned(&self.files),
             leases: &*self.leases(),
-            config: &*self.config(),
+            changes: self.changes().snapshot(),
         };
         let bytes = rmp_serde::to_vec_named(&image).expect("images always encode");
         (cursor.next(), bytes)
@@ -174,18 +202,16 @@
         replace(&self.jobs, image.jobs);
         replace(&self.files, image.files);
         *self.leases.write().expect("not poisoned") = image.leases;
-        *self.config.write().expect("not poisoned") = image.config;
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.lose_before(cursor.next());
+        if let Some(snapshot) = image.changes {
+            changes.adopt(snapshot);
+        }
+        drop(changes);
         self.folded.send_replace(cursor.next());
         Ok(())
     }
 
-    /// Goes on from an offset although entries before it were never folded.
-    pub fn skip_to(&self, offset: LogOffset) {
-        let mut cursor = self.cursor.lock().expect("not poisoned");
-        cursor.skip_to(offset);
-        self.folded.send_replace(cursor.next());
-    }
-
     /// Notes the oldest entry that the log still has.
     pub fn note_oldest(&self, oldest: LogOffset) {
         self.oldest.store(oldest.0, Ordering::Relaxed);
@@ -232,8 +258,32 @@
     }
 
     /// The configuration in force.
-    pub fn config(&self) -> RwLockReadGuard<'_, ConfigState> {
-        self.config.read().expect("not poisoned")
+    pub fn config(&self) -> ConfigGuard<'_> {
+        ConfigGuard(self.changes())
+    }
+
+    /// Configuration, plans and decisions.
+    pub fn changes(&self) -> RwLockReadGuard<'_, ChangeState> {
+        self.changes.read().expect("not poisoned")
+    }
+
+    /// Takes over what a peer knows of configuration and plans, if the peer is ahead.
+    pub fn adopt_changes(&self, snapshot: ChangeSnapshot) -> bool {
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.adopt(snapshot)
+    }
+
+    /// Notes that entries before this offset can no longer be read, and goes on from there.
+    pub fn lose_before(&self, oldest: LogOffset) {
+        let mut cursor = self.cursor.lock().expect("not poisoned");
+        if oldest <= cursor.next() {
+            return;
+        }
+        cursor.jump(oldest);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.lose_before(oldest);
+        drop(changes);
+        self.folded.send_replace(cursor.next());
     }
 
     /// The leases.
@@ -301,10 +351,25 @@
                 let mut leases = self.leases.write().expect("not poisoned");
                 leases.apply(offset, time_ms, record);
             }
-            LogRecord::ConfigProposed { .. } => {
-                let mut config = self.config.write().expect("not poisoned");
-                config.apply(offset, record);
+            // Folded by `fold_changes`, an entry at a time.
+            LogRecord::ConfigProposed { .. }
+            | LogRecord::PlanProposed { .. }
+            | LogRecord::PlanUndone { .. }
+            | LogRecord::PlanStepped { .. }
+            | LogRecord::CommandNoted { .. }
+            | LogRecord::ChangesCarried { .. } => {}
+        }
+    }
+
+    /// Folds configuration, plans and decisions.
+    fn fold_changes(&self, verdict: EntryVerdict, entry: &BatchEntry) {
+        let mut changes = self.changes.write().expect("not poisoned");
+        match verdict {
+            EntryVerdict::Apply => {
+                changes.apply_entry(entry.offset, entry.time_ms, &entry.batch.records);
             }
+            EntryVerdict::Duplicate => changes.skip_entry(entry.offset),
+            EntryVerdict::Past | EntryVerdict::Gap => {}
         }
     }
 
--- a/crates/entry/src/state_source.rs
+++ b/crates/entry/src/state_source.rs
@@ -70,7 +70,7 @@
         return;
     }
     log::error!("event=state_incomplete oldest={oldest}");
-    context.state.skip_to(oldest);
+    context.state.lose_before(oldest);
 }
 
 fn gather(parts: &mut CheckpointParts, raw: &RawEntry) {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -8,6 +8,7 @@
 use amaranth_wire::id::{DataCentreId, InstanceId, TierId};
 use amaranth_wire::unit::{ByteSize, EventRate, TimeSpan};
 
+use crate::operator::OperatorSettings;
 use crate::reader::{Result, Section, SettingsError, read};
 use crate::team::TeamSettings;
 use crate::tier::TierSettings;
@@ -77,6 +78,8 @@
     pub tiers: Vec<TierSettings>,
     /// The teams.
     pub teams: Vec<TeamSettings>,
+    /// The operators. Without any, operator calls need no key.
+    pub operators: Vec<OperatorSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
     /// Batch work beside online work.
@@ -128,6 +131,7 @@
         let upstreams = section.sections("upstreams", UpstreamGroup::decode);
         let tiers = section.sections("tiers", TierSettings::decode);
         let teams = section.sections("teams", TeamSettings::decode);
+        let operators = section.sections("operators", OperatorSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
         let batch = section.section("batch", decode_batch);
         let routing = section.text_or("routing", "prefix_affinity".to_owned());
@@ -139,6 +143,7 @@
             upstreams: upstreams?,
             tiers: tiers?,
             teams: teams?,
+            operators: operators?,
             bodies: bodies.unwrap_or_else(default_bodies),
             batch: batch.unwrap_or_else(default_batch),
             routing: routing?,
@@ -153,6 +158,7 @@
         report_twice(section, "upstreams", self.upstreams.iter().map(|g| &g.name));
         report_twice(section, "tiers", self.tiers.iter().map(|t| &t.name));
         report_twice(section, "teams", self.teams.iter().map(|t| &t.name));
+        report_twice(section, "operators", self.operators.iter().map(|o| &o.name));
         self.check_data_centres(section);
         section.report_empty("data_centres", &self.data_centres);
         section.report_empty("instances", &self.instances);
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -10,13 +10,14 @@
 use amaranth_net::client::{CallLimits, HttpAnswer, HttpCall, HttpClient, Result};
 use amaranth_net::server;
 use amaranth_standin::engine::EngineProfile;
-use amaranth_standin::engine_cli::{start_engine, start_service};
 use amaranth_standin::platform::{self, PlatformProfile, PlatformState};
 use amaranth_standin::service::ServiceProfile;
 use amaranth_standin::serving::ServedRouter;
+use amaranth_standin::upstream_start::{start_engine, start_service};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
+use volo_http::server::Router;
 
 /// Longest wait for something that a test expects to happen.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -33,19 +34,24 @@
     /// Serves an engine.
     pub async fn engine(profile: EngineProfile) -> Self {
         let stop = CancellationToken::new();
-        Self::serve(start_engine(profile, None, stop.clone()), stop).await
+        Self::serve(start_engine(profile, None, stop.clone()).served, stop).await
     }
 
     /// Serves a plain service.
     pub async fn service(profile: ServiceProfile) -> Self {
         let stop = CancellationToken::new();
-        Self::serve(start_service(profile, None, stop.clone()), stop).await
+        Self::serve(start_service(profile, None, stop.clone()).served, stop).await
     }
 
     /// Serves a platform.
     pub async fn platform(profile: PlatformProfile) -> Self {
+        Self::serve_router(platform::router(Arc::new(PlatformState::new(profile)))).await
+    }
+
+    /// Serves any paths.
+    pub async fn serve_router(router: Router) -> Self {
         let served = ServedRouter {
-            router: platform::router(Arc::new(PlatformState::new(profile))),
+            router,
             on_accept: None,
         };
         Self::serve(served, CancellationToken::new()).await
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! the messages between processes. No I/O.
 
 pub mod batch_slots;
+pub mod change;
 pub mod engine;
 pub mod error;
 pub mod gossip;
@@ -9,4 +10,5 @@
 pub mod message;
 pub mod platform;
 pub mod record;
+pub mod role;
 pub mod unit;
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -33,7 +33,8 @@
     for engine in &fleet.engines {
         let call = HttpCall::get(engine.address, "/engine/counts");
         let limits = CallLimits::new(Duration::from_secs(5));
-        let counts: Value = fleet.client.fetch_json(call, limits).await.expect("counts");
+        let counts = fleet.client.fetch_json(call, limits).await;
+        let counts: Value = counts.expect("counts");
         sum += counts["requests"].as_u64().expect("a count");
     }
     sum
