--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -25,6 +25,7 @@
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
+use crate::request_board::RequestBoard;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -69,6 +70,8 @@
     pub sights: PeerSights,
     /// Reads of the log by way of relays.
     pub reader: LogReader,
+    /// Online requests, in progress and recent.
+    pub requests: RequestBoard,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -98,6 +101,7 @@
             members: MemberTable::default(),
             sights: PeerSights::default(),
             reader: LogReader::default(),
+            requests: RequestBoard::default(),
             relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
             gates: BatchGates::new(&config.fleet),
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -24,6 +24,7 @@
 use crate::caller_port::CallerPort;
 use crate::context::{InstanceContext, Result};
 use crate::relay::{self, RelayEnd};
+use crate::request_board::RequestTicket;
 use crate::settle::{RequestEnd, RequestTimes, settle};
 use crate::upstream_table::InFlightGuard;
 
@@ -68,6 +69,7 @@
     relayed_id: Option<String>,
     current: Option<NamedStream>,
     excluded: Vec<UpstreamId>,
+    ticket: RequestTicket,
 }
 
 /// Where the request is, and under which name.
@@ -86,6 +88,7 @@
             relayed_id: None,
             current: None,
             excluded: Vec::new(),
+            ticket: context.requests.open(&request),
             context,
             request,
             port,
@@ -113,6 +116,7 @@
                 AttemptEnd::Done(end) => return end,
                 AttemptEnd::Failed(failure) => failure,
             };
+            self.ticket.note(format!("attempt failed: {failure:?}"));
             self.progress.caller_present = !self.port.is_gone();
             let mut rng = rand::rng();
             step = self
@@ -126,6 +130,7 @@
 
     /// Tells the caller of a failure and ends the upstream's work unless it is done.
     fn finish(&mut self, end: RequestEnd) {
+        self.ticket.note(format!("ended: {end:?}"));
         match end {
             RequestEnd::Answered(_) => self.note_answer(),
             RequestEnd::CallerGone => self.cancel_current(),
@@ -210,6 +215,7 @@
     }
 
     fn begin_attempt(&mut self, guard: InFlightGuard) {
+        self.ticket.sent(&guard.upstream().upstream);
         let number = STREAM_COUNTER.fetch_add(1, Ordering::Relaxed);
         let writer = self.context.config.writer.0;
         self.excluded.push(guard.upstream().upstream.clone());
@@ -309,7 +315,7 @@
     /// Notes that the current upstream failed.
     fn note_failure(&self) {
         if let Some(current) = &self.current {
-            current.guard.upstream().note_failure();
+            current.guard.note_failure();
         }
     }
 
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -1,14 +1,16 @@
 //! What this instance knows of one upstream, and the count of its requests there.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use amaranth_kernel::concurrency_limit::ConcurrencyLimit;
 use amaranth_kernel::ejection::UpstreamHealth;
+use amaranth_kernel::rollout::UpstreamSample;
 use amaranth_kernel::upstream_load::{LoadTracker, LoadView};
 use amaranth_net::client::HttpClient;
-use amaranth_net::clock::unix_ms;
+use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_settings::upstream::UpstreamSettings;
 use amaranth_wire::engine::EngineLoad;
 use amaranth_wire::id::UpstreamId;
@@ -37,6 +39,7 @@
     health: UpstreamHealth,
     listed_leaving: bool,
     dither: f64,
+    sample: UpstreamSample,
 }
 
 /// What a choice between upstreams needs to know of one.
@@ -68,6 +71,7 @@
                 health: UpstreamHealth::new(),
                 listed_leaving: false,
                 dither: rand::random(),
+                sample: UpstreamSample::default(),
             }),
             room,
         })
@@ -95,6 +99,11 @@
         self.book().load.own()
     }
 
+    /// What the requests of this instance there came to.
+    pub fn sample(&self) -> UpstreamSample {
+        self.book().sample
+    }
+
     /// Takes a load report. `gap_us` is the objective for the time between tokens.
     pub fn take_report(&self, report: &EngineLoad, gap_us: u64) {
         let mut book = self.book();
@@ -123,7 +132,11 @@
 }
 
 /// Counts one request at an upstream for as long as it lives.
-pub struct InFlightGuard(Arc<UpstreamState>);
+pub struct InFlightGuard {
+    state: Arc<UpstreamState>,
+    started_ms: u64,
+    failed: AtomicBool,
+}
 
 impl InFlightGuard {
     /// Counts a request from now on.
@@ -133,18 +146,35 @@
         book.load.start(now_ms);
         book.health.start(now_ms);
         drop(book);
-        Self(state)
+        Self {
+            state,
+            started_ms: steady_ms(),
+            failed: AtomicBool::new(false),
+        }
     }
 
     /// Where the request is.
     pub fn upstream(&self) -> &UpstreamState {
-        &self.0
+        &self.state
+    }
+
+    /// Notes that the upstream failed the request.
+    pub fn note_failure(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+        self.state.note_failure();
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.book().load.end(unix_ms());
-        self.0.room.notify_one();
+        let mut book = self.state.book();
+        book.load.end(unix_ms());
+        book.sample = book.sample.plus(UpstreamSample {
+            requests: 1,
+            errors: u64::from(*self.failed.get_mut()),
+            total_ms: steady_ms().saturating_sub(self.started_ms),
+        });
+        drop(book);
+        self.state.room.notify_one();
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 pub mod retention;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod setting_table;
 pub mod slot_book;
