--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -134,6 +134,11 @@
         self.entries.insert(name.to_owned(), entry);
     }
 
+    /// Path of the settings file.
+    pub fn settings_path(&self) -> &str {
+        self.settings.to_str().expect("a plain path")
+    }
+
     /// Address of an instance.
     pub fn address(&self, name: &str) -> SocketAddr {
         self.entries[name].address
