--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,11 +2,14 @@
 //! platform.
 
 pub mod accept;
+pub mod admit;
+pub mod attempt;
 pub mod batch_intake;
 pub mod batch_upload;
 pub mod batch_view;
 pub mod call_meter;
 pub mod caller_auth;
+pub mod caller_port;
 pub mod cli;
 pub mod commit_queue;
 pub mod committer;
@@ -18,6 +21,7 @@
 pub mod item_reader;
 pub mod item_run;
 pub mod lease_keeper;
+pub mod load_poll;
 pub mod log_client;
 pub mod membership;
 pub mod models;
@@ -25,8 +29,11 @@
 pub mod owner;
 pub mod process;
 pub mod relay;
+pub mod request_run;
 pub mod routes;
 pub mod running_items;
+pub mod settle;
 pub mod shard_preference;
 pub mod shared_state;
+pub mod upstream_state;
 pub mod upstream_table;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,7 +15,7 @@
 use crate::context::InstanceContext;
 use crate::log_client::LogClient;
 use crate::shared_state::SharedState;
-use crate::{follower, gossip, membership, owner, routes};
+use crate::{admit, follower, gossip, load_poll, membership, owner, routes};
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
 const NOTICE_PERIOD: Duration = Duration::from_secs(2);
@@ -49,6 +49,8 @@
     tokio::spawn(membership::run(context.clone(), address));
     tokio::spawn(gossip::run(context.clone()));
     tokio::spawn(owner::run(context.clone()));
+    tokio::spawn(load_poll::run(context.clone()));
+    tokio::spawn(admit::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
     Ok(RunningInstance { context, address })
 }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -69,6 +69,8 @@
     pub teams: Vec<TeamSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
+    /// Name of the routing policy of online requests.
+    pub routing: String,
 }
 
 impl FleetSettings {
@@ -115,6 +117,7 @@
         let tiers = section.sections("tiers", TierSettings::decode);
         let teams = section.sections("teams", TeamSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
+        let routing = section.text_or("routing", "prefix_affinity".to_owned());
         let settings = Self {
             fleet: fleet?,
             data_centres: data_centres?,
@@ -124,6 +127,7 @@
             tiers: tiers?,
             teams: teams?,
             bodies: bodies.unwrap_or_else(default_bodies),
+            routing: routing?,
         };
         settings.check(section);
         Some(settings)
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -26,6 +26,10 @@
         });
         let tiers = settings["tiers"].as_array_mut().expect("a list");
         tiers.push(json!({"name": "online-only", "upstreams": "sketch-llm"}));
+        tiers.push(json!({"name": "booking", "upstreams": "desk"}));
+        let groups = settings["upstreams"].as_array_mut().expect("a list");
+        let desk = json!({"name": "desk", "kind": "service", "count": 1, "data_centres": ["dc-a"]});
+        groups.push(desk);
     })
     .await
 }
