Report service-level burn from the instances' own counts

Cause: nothing told operators which tier loses its objective, how fast, and to what.

Ruled out: histograms alone (they cannot say which request was late beside batch work), records on the log (they would use appends that work needs).

Change: each online request is judged once where it settles and counted by minute and cause in a ring of 6 hours for each tier; GET /v1/operator/service-levels gives the counts; amaranth-burn collects from the platform's list, named instances and saved files and prints burn over 5 min/1 h and 30 min/6 h, the budget left and what ate it, as text, JSON and an SVG plot. A tier's kind is checked, with cases in bad_input.

Known limit: batch_pressure sees only the judging instance's own batch items, so it is a lower bound.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -20,6 +20,7 @@
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
 use crate::membership::MemberTable;
+use crate::service_levels::ServiceLevels;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -47,6 +48,8 @@
     pub upstreams: UpstreamTable,
     /// The callers' keys.
     pub callers: CallerKeys,
+    /// Online requests by tier, minute and cause.
+    pub levels: ServiceLevels,
     /// Calls in progress.
     pub calls: CallMeter,
     /// Online requests that wait for room.
@@ -76,6 +79,7 @@
         Self {
             items: ItemReader::new(log.clone()),
             callers: CallerKeys::new(&config.fleet.teams),
+            levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
             admission: AdmissionDesk::new(&config.fleet),
--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -162,6 +162,7 @@
     let tier = tier.ok_or_else(|| failed(format!("tier {} is gone", task.tier)))?;
     let guard = context.upstreams.pick(&tier.upstreams, &[]);
     let guard = guard.ok_or_else(|| failed("no upstream is available".to_owned()))?;
+    let guard = guard.with_batch();
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(JSON));
     let call = HttpCall::post(guard.upstream().address, "/v1/chat/completions")
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod request_run;
 pub mod routes;
 pub mod running_items;
+pub mod service_levels;
 pub mod settle;
 pub mod shard_preference;
 pub mod shared_state;
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -10,7 +10,7 @@
 use amaranth_kernel::stream_assembly::StreamAssembly;
 use amaranth_net::answer;
 use amaranth_net::client::HttpAnswer;
-use amaranth_net::clock::steady_ms;
+use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_settings::upstream::UpstreamKind;
 use amaranth_wire::error::{CallError, ErrorKind, RanState};
 use amaranth_wire::id::UpstreamId;
@@ -24,7 +24,7 @@
 use crate::caller_port::CallerPort;
 use crate::context::{InstanceContext, Result};
 use crate::relay::{self, RelayEnd};
-use crate::settle::{RequestEnd, RequestTimes, settle};
+use crate::settle::{RequestEnd, RequestTimes, level_sample, settle};
 use crate::upstream_table::InFlightGuard;
 
 /// First status that an upstream answers for its own faults.
@@ -135,7 +135,11 @@
                 self.port.fail(CallError::new(kind, message).with_ran(ran));
             }
         }
-        settle(&self.request, end, &self.times, steady_ms());
+        let now_ms = steady_ms();
+        settle(&self.request, end, &self.times, now_ms);
+        let sample = level_sample(&self.request, end, &self.times, now_ms);
+        let tier = &self.request.tier.name;
+        self.context.levels.note(tier, &sample, unix_ms());
     }
 
     fn note_answer(&mut self) {
@@ -169,6 +173,8 @@
                 None => Err(AttemptEnd::Done(RequestEnd::CallerGone)),
                 Some(Ok(guard)) => Ok(guard),
                 Some(Err(refusal)) => {
+                    let group = self.context.upstreams.group(&self.request.tier.upstreams);
+                    self.times.beside_batch = group.iter().any(|state| state.runs_batch());
                     let end = RequestEnd::Failed(refusal.kind, refusal.ran);
                     self.port.fail(refusal);
                     Err(AttemptEnd::Done(end))
@@ -212,6 +218,7 @@
     fn begin_attempt(&mut self, guard: InFlightGuard) {
         let number = STREAM_COUNTER.fetch_add(1, Ordering::Relaxed);
         let writer = self.context.config.writer.0;
+        self.times.beside_batch |= guard.upstream().runs_batch();
         self.excluded.push(guard.upstream().upstream.clone());
         self.current = Some(NamedStream {
             guard,
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -6,6 +6,7 @@
 use amaranth_net::{answer, telemetry};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
+use amaranth_wire::service_level::SERVICE_LEVELS_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
 use volo_http::response::Response;
@@ -14,7 +15,7 @@
 
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
-use crate::{accept, batch_intake, batch_view, files, gossip, models, operator};
+use crate::{accept, batch_intake, batch_view, files, gossip, models, operator, service_levels};
 
 /// The server of an instance.
 pub fn router(context: &Arc<InstanceContext>) -> Router {
@@ -67,9 +68,11 @@
     let instance = get(handler(context, metered(operator::instance)));
     let config = get(handler(context, metered(operator::show_config)));
     let config = config.post(handler(context, metered(operator::set_config)));
+    let levels = get(handler(context, metered(service_levels::show)));
     let exchange = post(handler(context, gossip::handle));
     router
         .route(GOSSIP_PATH, only(context, "POST", exchange))
+        .route(SERVICE_LEVELS_PATH, only(context, "GET", levels))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
 }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -1,5 +1,6 @@
 //! The one place that every online request's outcome passes, with its times.
 
+use amaranth_kernel::service_level::{LevelEnd, LevelSample};
 use amaranth_net::telemetry::quote;
 use amaranth_wire::error::{ErrorKind, RanState};
 
@@ -27,6 +28,8 @@
     pub tokens: u32,
     /// Attempts, resumed streams not counted.
     pub attempts: u32,
+    /// Whether batch work ran at the upstream when the request came there.
+    pub beside_batch: bool,
     /// Resumed streams.
     pub resumes: u32,
     last_token_ms: u64,
@@ -47,6 +50,26 @@
     }
 }
 
+/// What the objectives of the tier are held against.
+pub fn level_sample(
+    request: &OnlineRequest,
+    end: RequestEnd,
+    times: &RequestTimes,
+    now_ms: u64,
+) -> LevelSample {
+    LevelSample {
+        end: match end {
+            RequestEnd::Answered(status) => LevelEnd::Answered(status),
+            RequestEnd::Failed(kind, _) => LevelEnd::Failed(kind),
+            RequestEnd::CallerGone => LevelEnd::CallerGone,
+        },
+        total_ms: now_ms.saturating_sub(request.arrived_ms),
+        first_token_ms: times.first_token_ms,
+        longest_gap_ms: times.longest_gap_ms,
+        beside_batch: times.beside_batch,
+    }
+}
+
 /// Notes the end of a request.
 pub fn settle(request: &OnlineRequest, end: RequestEnd, times: &RequestTimes, now_ms: u64) {
     let (outcome, ran) = match end {
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -1,6 +1,7 @@
 //! What this instance knows of one upstream, and the count of its requests there.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -28,6 +29,7 @@
     /// Its relative speed by the settings.
     pub speed: f64,
     book: Mutex<UpstreamBook>,
+    batch_items: AtomicU32,
     room: Arc<Notify>,
 }
 
@@ -65,6 +67,7 @@
                 health: UpstreamHealth::new(),
                 listed_leaving: false,
             }),
+            batch_items: AtomicU32::new(0),
             room,
         })
     }
@@ -90,6 +93,11 @@
         self.book().load.own()
     }
 
+    /// Whether this instance has batch items there.
+    pub fn runs_batch(&self) -> bool {
+        self.batch_items.load(Ordering::Relaxed) > 0
+    }
+
     /// Takes a load report. `gap_us` is the objective for the time between tokens.
     pub fn take_report(&self, report: &EngineLoad, gap_us: u64) {
         let mut book = self.book();
@@ -117,7 +125,10 @@
 }
 
 /// Counts one request at an upstream for as long as it lives.
-pub struct InFlightGuard(Arc<UpstreamState>);
+pub struct InFlightGuard {
+    state: Arc<UpstreamState>,
+    batch: bool,
+}
 
 impl InFlightGuard {
     /// Counts a request from now on.
@@ -127,18 +138,31 @@
         book.load.start(now_ms);
         book.health.start(now_ms);
         drop(book);
-        Self(state)
+        Self {
+            state,
+            batch: false,
+        }
     }
 
     /// Where the request is.
     pub fn upstream(&self) -> &UpstreamState {
-        &self.0
+        &self.state
+    }
+
+    /// Marks the request as a batch item.
+    pub fn with_batch(mut self) -> Self {
+        self.batch = true;
+        self.state.batch_items.fetch_add(1, Ordering::Relaxed);
+        self
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.book().load.end(unix_ms());
-        self.0.room.notify_one();
+        if self.batch {
+            self.state.batch_items.fetch_sub(1, Ordering::Relaxed);
+        }
+        self.state.book().load.end(unix_ms());
+        self.state.room.notify_one();
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod quota;
 pub mod retry;
 pub mod routing;
+pub mod service_level;
 pub mod stream_assembly;
 pub mod subset;
 pub mod upstream_load;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod message;
 pub mod platform;
 pub mod record;
+pub mod service_level;
 pub mod unit;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -134,6 +134,27 @@
             "unknown_target",
         ),
         (CHAT, &[], &large, 413, "body_too_large"),
+        (
+            CHAT,
+            &["amaranth-tier: booking"],
+            &good,
+            404,
+            "unknown_target",
+        ),
+        (
+            "POST /v1/services/shading/engine/orders",
+            &[],
+            "{}",
+            404,
+            "unknown_target",
+        ),
+        (
+            "POST /v1/services/nowhere/book",
+            &[],
+            "{}",
+            404,
+            "unknown_target",
+        ),
         (
             "GET /v1/chat/completions",
             &[],
