--- a/crates/entry/src/batch_gate.rs
+++ b/crates/entry/src/batch_gate.rs
@@ -167,7 +167,8 @@
         };
         let now_ms = unix_ms();
         let snapshot = state.snapshot(now_ms, instances);
-        let closed = snapshot.leaving || !snapshot.health.is_available(now_ms);
+        let withheld = context.upstreams.is_withheld(&state.upstream);
+        let closed = withheld || snapshot.leaving || !snapshot.health.is_available(now_ms);
         gate.closed.store(closed, Ordering::Relaxed);
         let load = snapshot.load;
         context.gates.change(gate, |book, now_ms| {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -26,6 +26,7 @@
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
 use crate::request_board::RequestBoard;
+use crate::service_levels::ServiceLevels;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -56,6 +57,8 @@
     pub upstreams: UpstreamTable,
     /// The callers' keys.
     pub callers: CallerKeys,
+    /// Online requests by tier, minute and cause.
+    pub levels: ServiceLevels,
     /// Calls in progress.
     pub calls: CallMeter,
     /// Online requests that wait for room.
@@ -97,6 +100,7 @@
         Self {
             items: ItemReader::new(log.clone()),
             callers: CallerKeys::new(&config.fleet.teams),
+            levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
             sights: PeerSights::default(),
--- a/crates/entry/src/item_call.rs
+++ b/crates/entry/src/item_call.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderValue};
 
 use crate::context::InstanceContext;
+use crate::upstream_state::BatchMark;
 
 /// Longest wait for the answer to one item.
 const ITEM_LIMIT: Duration = Duration::from_secs(60);
@@ -90,6 +91,7 @@
         name: stream_name(context),
         done: false,
     };
+    let _mark = BatchMark::new(state.clone());
     let call = HttpCall::post(state.address, "/v1/chat/completions")
         .with_headers(headers(&stream.name))
         .with_body(body.to_vec());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod request_run;
 pub mod routes;
 pub mod running_items;
+pub mod service_levels;
 pub mod settle;
 pub mod shard_preference;
 pub mod shared_state;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -7,6 +7,7 @@
 use amaranth_wire::batch_slots::{BATCH_SLOTS_PATH, ONLINE_NOTICE_PATH};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
+use amaranth_wire::service_level::SERVICE_LEVELS_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
 use volo_http::response::Response;
@@ -17,7 +18,7 @@
 use crate::context::{InstanceContext, Result};
 use crate::{
     accept, batch_gate, batch_intake, batch_view, files, gossip, log_reader, log_relay, models,
-    operator, operator_command, operator_peers, operator_query, state_source,
+    operator, operator_command, operator_peers, operator_query, service_levels, state_source,
 };
 
 /// The server of an instance.
@@ -75,7 +76,9 @@
     let query = post(handler(context, metered(operator_query::query)));
     let command = post(handler(context, metered(operator_command::command)));
     let ask_again = get(handler(context, metered(operator_command::ask_again)));
+    let levels = get(handler(context, metered(service_levels::show)));
     router
+        .route(SERVICE_LEVELS_PATH, only(context, "GET", levels))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
         .route("/v1/operator/query", only(context, "POST", query))
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -1,7 +1,7 @@
 //! What this instance knows of one upstream, and the count of its requests there.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -30,6 +30,7 @@
     /// Its relative speed by the settings.
     pub speed: f64,
     book: Mutex<UpstreamBook>,
+    batch_items: AtomicU32,
     room: Arc<Notify>,
 }
 
@@ -73,6 +74,7 @@
                 dither: rand::random(),
                 sample: UpstreamSample::default(),
             }),
+            batch_items: AtomicU32::new(0),
             room,
         })
     }
@@ -104,6 +106,11 @@
         self.book().sample
     }
 
+    /// Whether this instance has batch items there.
+    pub fn runs_batch(&self) -> bool {
+        self.batch_items.load(Ordering::Relaxed) > 0
+    }
+
     /// Takes a load report. `gap_us` is the objective for the time between tokens.
     pub fn take_report(&self, report: &EngineLoad, gap_us: u64) {
         let mut book = self.book();
@@ -131,6 +138,23 @@
     }
 }
 
+/// Counts one batch item at an upstream for as long as it lives.
+pub struct BatchMark(Arc<UpstreamState>);
+
+impl BatchMark {
+    /// Counts an item from now on.
+    pub fn new(state: Arc<UpstreamState>) -> Self {
+        state.batch_items.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl Drop for BatchMark {
+    fn drop(&mut self) {
+        self.0.batch_items.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts one request at an upstream for as long as it lives.
 pub struct InFlightGuard {
     state: Arc<UpstreamState>,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod routing;
+pub mod service_level;
 pub mod setting_table;
 pub mod slot_book;
 pub mod step_model;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -26,6 +26,10 @@
         });
         let tiers = settings["tiers"].as_array_mut().expect("a list");
         tiers.push(json!({"name": "online-only", "upstreams": "sketch-llm"}));
+        tiers.push(json!({"name": "booking", "upstreams": "desk"}));
+        let groups = settings["upstreams"].as_array_mut().expect("a list");
+        let desk = json!({"name": "desk", "kind": "service", "count": 1, "data_centres": ["dc-a"]});
+        groups.push(desk);
     })
     .await
 }
@@ -130,6 +134,27 @@
             "unknown_target",
         ),
         (CHAT, &[], &large, 413, "body_too_large"),
+        (
+            CHAT,
+            &["amaranth-tier: booking"],
+            &good,
+            404,
+            "unknown_target",
+        ),
+        (
+            "POST /v1/services/shading/engine/orders",
+            &[],
+            "{}",
+            404,
+            "unknown_target",
+        ),
+        (
+            "POST /v1/services/nowhere/book",
+            &[],
+            "{}",
+            404,
+            "unknown_target",
+        ),
         (
             "GET /v1/chat/completions",
             &[],
