--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use volo_http::response::Response;
 
-use crate::batch_intake::{DEADLINE_HEADER, KEY_HEADER};
+use crate::batch_intake::{DEADLINE_HEADER, KEY_HEADER, parse_key};
 use crate::context::{InstanceContext, Result};
 use crate::request_run;
 
@@ -128,6 +128,7 @@
     let head: RequestHead = serde_json::from_slice(&body)
         .map_err(|e| CallError::new(ErrorKind::InvalidRequest, format!("invalid request: {e}")))?;
     let tier = find_tier(context, named_tier.as_deref(), &head.model)?;
+    check_kind(context, tier, UpstreamKind::Engine)?;
     let mut accepted = options.accept(context, tier, body);
     accepted.path = path;
     accepted.stream = head.stream;
@@ -136,8 +137,9 @@
 }
 
 async fn accept_service(context: &InstanceContext, request: RouteRequest) -> Result<OnlineRequest> {
-    let tier = find_tier(context, Some(request.param(0)), "")?.clone();
     let options = RequestOptions::read(context, &request)?;
+    let tier = find_tier(context, Some(request.param(0)), "")?.clone();
+    check_kind(context, &tier, UpstreamKind::Service)?;
     let method = request.method().clone();
     let path = service_path(request.path());
     let content_type = request.headers().get(CONTENT_TYPE).cloned();
@@ -151,6 +153,19 @@
     Ok(accepted)
 }
 
+/// Keeps completions from services, and callers from the engines' own calls.
+fn check_kind(context: &InstanceContext, tier: &TierSettings, kind: UpstreamKind) -> Result<()> {
+    let group = context.config.fleet.group(&tier.upstreams);
+    if group.is_some_and(|group| group.kind == kind) {
+        return Ok(());
+    }
+    let message = format!(
+        "the upstreams of tier {} are not of the kind {kind}",
+        tier.name
+    );
+    Err(CallError::new(ErrorKind::UnknownTarget, message))
+}
+
 /// What follows `/v1/services/{tier}`.
 fn service_path(path: &str) -> String {
     let rest = path.splitn(5, '/').nth(4).unwrap_or("");
@@ -170,7 +185,7 @@
     fn read(context: &InstanceContext, request: &RouteRequest) -> Result<Self> {
         Ok(Self {
             team: context.callers.team(request)?,
-            key: request.header(KEY_HEADER).map(str::to_owned),
+            key: parse_key(request)?.map(str::to_owned),
             repeatable: parse_header(request, REPEATABLE_HEADER, "true or false")?,
             deadline_in_ms: parse_header(request, DEADLINE_HEADER, "a number of milliseconds")?,
             arrived_ms: steady_ms(),
--- a/crates/kernel/src/file_table.rs
+++ b/crates/kernel/src/file_table.rs
@@ -4,13 +4,14 @@
 
 use amaranth_wire::id::{JobId, LogOffset, TeamId, TierId};
 use amaranth_wire::record::LogRecord;
+use serde::{Deserialize, Serialize};
 
 /// How long a file is remembered, in milliseconds of the log's clock. Shorter than the ledger
 /// remembers an upload's items, so that a file that is shown can still become a job.
 pub const FILE_MEMORY_MS: u64 = 3_000_000;
 
 /// One stored file.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredFile {
     /// The upload that holds its items.
     pub upload: u64,
@@ -32,7 +33,7 @@
 }
 
 /// The files of one shard, by the job that each makes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FileTable {
     files: HashMap<JobId, StoredFile>,
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,6 +2,7 @@
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
 pub mod admission_queue;
+pub mod batch_room;
 pub mod bitmap;
 pub mod change_state;
 pub mod commit;
@@ -21,10 +22,14 @@
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
+pub mod retention;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
+pub mod service_level;
 pub mod setting_table;
+pub mod slot_book;
+pub mod step_model;
 pub mod stream_assembly;
 pub mod subset;
 pub mod upstream_load;
