--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -26,8 +26,6 @@
 /// Header that says whether the work may be run more than once.
 pub const REPEATABLE_HEADER: &str = "amaranth-repeatable";
 
-/// Team of callers while no teams are set up.
-const DEFAULT_TEAM: &str = "default";
 /// Blocks at the start of a prompt that decide where it goes.
 const PREFIX_BLOCKS: usize = 4;
 
@@ -108,23 +106,26 @@
 /// Handles a completion call of a caller.
 pub async fn completion(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let accepted = accept_completion(&context, request).await?;
+    let team = context.callers.team(&request)?;
+    let accepted = accept_completion(&context, request, team).await?;
     request_run::answer(context, accepted).await
 }
 
 /// Handles a call of a plain service.
 pub async fn service(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let accepted = accept_service(&context, request).await?;
+    let team = context.callers.team(&request)?;
+    let accepted = accept_service(&context, request, team).await?;
     request_run::answer(context, accepted).await
 }
 
 async fn accept_completion(
     context: &InstanceContext,
     request: RouteRequest,
+    team: TeamId,
 ) -> Result<OnlineRequest> {
     let named_tier = request.header(TIER_HEADER).map(str::to_owned);
-    let options = RequestOptions::read(&request)?;
+    let options = RequestOptions::read(&request, team)?;
     let path = request.path().to_owned();
     let body = read_all(request.into_body(), online_limits(context)).await?;
     let head: RequestHead = serde_json::from_slice(&body)
@@ -137,9 +138,13 @@
     Ok(accepted)
 }
 
-async fn accept_service(context: &InstanceContext, request: RouteRequest) -> Result<OnlineRequest> {
+async fn accept_service(
+    context: &InstanceContext,
+    request: RouteRequest,
+    team: TeamId,
+) -> Result<OnlineRequest> {
     let tier = find_tier(context, Some(request.param(0)), "")?.clone();
-    let options = RequestOptions::read(&request)?;
+    let options = RequestOptions::read(&request, team)?;
     let method = request.method().clone();
     let path = service_path(request.path());
     let content_type = request.headers().get(CONTENT_TYPE).cloned();
@@ -161,6 +166,7 @@
 
 /// What a caller asks for in headers.
 struct RequestOptions {
+    team: TeamId,
     key: Option<String>,
     repeatable: Option<bool>,
     deadline_in_ms: Option<u64>,
@@ -168,8 +174,9 @@
 }
 
 impl RequestOptions {
-    fn read(request: &RouteRequest) -> Result<Self> {
+    fn read(request: &RouteRequest, team: TeamId) -> Result<Self> {
         Ok(Self {
+            team,
             key: request.header(KEY_HEADER).map(str::to_owned),
             repeatable: parse_header(request, REPEATABLE_HEADER, "true or false")?,
             deadline_in_ms: parse_header(request, DEADLINE_HEADER, "a number of milliseconds")?,
@@ -191,7 +198,7 @@
             path: String::new(),
             headers,
             kind: group.map_or(UpstreamKind::Engine, |group| group.kind),
-            team: DEFAULT_TEAM.parse().expect("a valid name"),
+            team: self.team,
             prefix: None,
             stream: false,
             body,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,12 +12,16 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::AdmissionDesk;
+use crate::call_meter::CallMeter;
+use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
 use crate::log_client::LogClient;
+use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
+use crate::operator_peers::PeerSights;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -45,8 +49,16 @@
     pub upstreams: UpstreamTable,
     /// Online requests that wait for room.
     pub admission: AdmissionDesk,
+    /// The callers' keys.
+    pub callers: CallerKeys,
+    /// Calls in progress.
+    pub calls: CallMeter,
     /// The other instances.
     pub members: MemberTable,
+    /// When the other instances were last heard.
+    pub sights: PeerSights,
+    /// Recent entries of the log, for peers that cannot read it.
+    pub relay: LogRelay,
     /// What the other instances said of themselves.
     pub gossip: MemberGossip,
     /// Work that a planned stop waits for.
@@ -69,8 +81,12 @@
         let upstreams = UpstreamTable::new(&config.fleet);
         Self {
             items: ItemReader::new(log.clone()),
+            callers: CallerKeys::new(&config.fleet.teams),
+            calls: CallMeter::default(),
             members: MemberTable::default(),
             admission: AdmissionDesk::new(&config.fleet),
+            sights: PeerSights::default(),
+            relay: LogRelay::default(),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
@@ -97,7 +113,13 @@
 
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.is_drained()
+    }
+
+    /// Whether an operator drains this instance.
+    pub fn is_drained(&self) -> bool {
+        let changes = self.state.changes();
+        changes.core().plans.drains_instance(&self.config.instance)
     }
 
     /// Whether the balancer may send new work here.
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -1,12 +1,17 @@
 //! State folded from the log, in parts with a lock each.
 
+use std::ops::Deref;
 use std::sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
+use amaranth_kernel::change_state::{ChangeSnapshot, ChangeState};
 use amaranth_kernel::config_state::ConfigState;
 use amaranth_kernel::cursor::{EntryVerdict, FoldCursor};
+use amaranth_kernel::file_table::FileTable;
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
+use amaranth_kernel::log_clock::LogClock;
+use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{BatchEntry, LogRecord};
 use tokio::sync::watch;
@@ -21,15 +26,28 @@
     pub offset: LogOffset,
 }
 
+/// The configuration in force, for as long as it is looked at.
+pub struct ConfigGuard<'a>(RwLockReadGuard<'a, ChangeState>);
+
+impl Deref for ConfigGuard<'_> {
+    type Target = ConfigState;
+
+    fn deref(&self) -> &ConfigState {
+        &self.0.core().config
+    }
+}
+
 /// Everything that is folded from the log.
 pub struct SharedState {
     writer: WriterId,
     cursor: Mutex<FoldCursor>,
     jobs: Vec<Mutex<JobLedger>>,
+    files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
-    config: RwLock<ConfigState>,
+    changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
+    clock: Mutex<LogClock>,
 }
 
 impl SharedState {
@@ -39,11 +57,16 @@
         Self {
             writer,
             cursor: Mutex::new(FoldCursor::default()),
-            jobs: shards.map(|_| Mutex::new(JobLedger::default())).collect(),
+            jobs: shards
+                .clone()
+                .map(|_| Mutex::new(JobLedger::default()))
+                .collect(),
+            files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
-            config: RwLock::new(ConfigState::default()),
+            changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
+            clock: Mutex::new(LogClock::default()),
         }
     }
 
@@ -51,6 +74,7 @@
     pub fn fold(&self, entry: &BatchEntry) -> EntryVerdict {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         let verdict = cursor.admit(entry);
+        self.fold_changes(verdict, entry);
         if verdict == EntryVerdict::Apply {
             let records = &entry.batch.records;
             records
@@ -62,10 +86,13 @@
         verdict
     }
 
-    /// Moves over an entry that is not a batch.
-    pub fn skip(&self, offset: LogOffset) {
+    /// Moves over an entry that is not a batch and notes why.
+    pub fn reject(&self, offset: LogOffset, time_ms: u64, reason: &str) {
         let mut cursor = self.cursor.lock().expect("not poisoned");
         cursor.skip(offset);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.reject_entry(offset, time_ms, reason);
+        drop(changes);
         self.folded.send_replace(cursor.next());
     }
 
@@ -74,6 +101,11 @@
         *self.folded.borrow()
     }
 
+    /// The offset to fold next, as it changes.
+    pub fn folded_watch(&self) -> watch::Receiver<LogOffset> {
+        self.folded.subscribe()
+    }
+
     /// Waits until the entry at this offset is folded. False when the wait runs out.
     pub async fn wait_folded(&self, offset: LogOffset, limit: Duration) -> bool {
         let mut folded = self.folded.subscribe();
@@ -86,14 +118,49 @@
         self.own.subscribe()
     }
 
+    /// Takes the log's clock from an answer that just arrived.
+    pub fn note_log_time(&self, log_ms: u64) {
+        let mut clock = self.clock.lock().expect("not poisoned");
+        clock.observe(log_ms, steady_ms());
+    }
+
+    /// The earliest that the log's clock can show now, Unix milliseconds.
+    pub fn log_now_ms(&self) -> Option<u64> {
+        self.clock.lock().expect("not poisoned").now(steady_ms())
+    }
+
     /// The configuration revision in force here.
     pub fn revision(&self) -> ConfigRevision {
         self.config().revision()
     }
 
     /// The configuration in force.
-    pub fn config(&self) -> RwLockReadGuard<'_, ConfigState> {
-        self.config.read().expect("not poisoned")
+    pub fn config(&self) -> ConfigGuard<'_> {
+        ConfigGuard(self.changes())
+    }
+
+    /// Configuration, plans and decisions.
+    pub fn changes(&self) -> RwLockReadGuard<'_, ChangeState> {
+        self.changes.read().expect("not poisoned")
+    }
+
+    /// Takes over what a peer knows of configuration and plans, if the peer is ahead.
+    pub fn adopt_changes(&self, snapshot: ChangeSnapshot) -> bool {
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.adopt(snapshot)
+    }
+
+    /// Notes that entries before this offset can no longer be read, and goes on from there.
+    pub fn lose_before(&self, oldest: LogOffset) {
+        let mut cursor = self.cursor.lock().expect("not poisoned");
+        if oldest <= cursor.next() {
+            return;
+        }
+        cursor.jump(oldest);
+        let mut changes = self.changes.write().expect("not poisoned");
+        changes.lose_before(oldest);
+        drop(changes);
+        self.folded.send_replace(cursor.next());
     }
 
     /// The leases.
@@ -112,6 +179,12 @@
         self.shard(shard_of(job))
     }
 
+    /// The stored files of the shard that a job falls into.
+    pub fn files_for(&self, job: &JobId) -> MutexGuard<'_, FileTable> {
+        let index = (shard_of(job).0 % SHARD_COUNT) as usize;
+        self.files[index].lock().expect("not poisoned")
+    }
+
     fn apply(&self, offset: LogOffset, time_ms: u64, record: &LogRecord) {
         match record {
             LogRecord::JobItems { job, .. }
@@ -120,16 +193,34 @@
             | LogRecord::JobCancelled { job, .. } => {
                 self.shard_for(job).apply(offset, time_ms, record);
             }
+            LogRecord::FileStored { job, .. } => {
+                self.files_for(job).apply(offset, time_ms, record);
+            }
             LogRecord::LeaseClaimed { .. }
             | LogRecord::LeasesRenewed { .. }
             | LogRecord::LeasesReleased { .. } => {
                 let mut leases = self.leases.write().expect("not poisoned");
                 leases.apply(offset, time_ms, record);
             }
-            LogRecord::ConfigProposed { .. } => {
-                let mut config = self.config.write().expect("not poisoned");
-                config.apply(offset, record);
+            // Folded by `fold_changes`, an entry at a time.
+            LogRecord::ConfigProposed { .. }
+            | LogRecord::PlanProposed { .. }
+            | LogRecord::PlanUndone { .. }
+            | LogRecord::PlanStepped { .. }
+            | LogRecord::CommandNoted { .. }
+            | LogRecord::ChangesCarried { .. } => {}
+        }
+    }
+
+    /// Folds configuration, plans and decisions.
+    fn fold_changes(&self, verdict: EntryVerdict, entry: &BatchEntry) {
+        let mut changes = self.changes.write().expect("not poisoned");
+        match verdict {
+            EntryVerdict::Apply => {
+                changes.apply_entry(entry.offset, entry.time_ms, &entry.batch.records);
             }
+            EntryVerdict::Duplicate => changes.skip_entry(entry.offset),
+            EntryVerdict::Past | EntryVerdict::Gap => {}
         }
     }
 
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,8 +1,9 @@
 //! The upstreams of every group, and the choice between them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 
 use amaranth_kernel::ejection;
 use amaranth_kernel::plugin::routing_policy;
@@ -50,6 +51,7 @@
     instances: AtomicU32,
     budgets: HashMap<TierId, Mutex<RetryBudget>>,
     room: Arc<Notify>,
+    withheld: RwLock<HashSet<UpstreamId>>,
 }
 
 impl UpstreamTable {
@@ -64,6 +66,7 @@
             tier_of_model: models(fleet),
             policy: policy.expect("the default policy is registered"),
             counter: AtomicU64::new(0),
+            withheld: RwLock::new(HashSet::new()),
             instances: AtomicU32::new(fleet.instances.len().max(1) as u32),
             budgets: budgets(fleet),
             room,
@@ -83,6 +86,34 @@
         }
     }
 
+    /// Replaces the set of upstreams that plans keep new work from.
+    pub fn set_withheld(&self, withheld: HashSet<UpstreamId>) {
+        *self.withheld.write().expect("not poisoned") = withheld;
+    }
+
+    /// Whether a plan keeps new work from an upstream.
+    pub fn is_withheld(&self, upstream: &UpstreamId) -> bool {
+        let withheld = self.withheld.read().expect("not poisoned");
+        withheld.contains(upstream)
+    }
+
+    /// Every upstream with its group and what this instance has in flight there.
+    pub fn all(&self) -> Vec<(String, UpstreamId, SocketAddr, u32)> {
+        let groups = self.groups.iter();
+        let rows = groups.flat_map(|(group, upstreams)| {
+            upstreams.iter().map(|state| {
+                let in_flight = state.in_flight();
+                (
+                    group.clone(),
+                    state.upstream.clone(),
+                    state.address,
+                    in_flight,
+                )
+            })
+        });
+        rows.collect()
+    }
+
     /// The first tier that serves this model.
     pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
         self.tier_of_model.get(model)
@@ -93,8 +124,8 @@
         self.groups.get(group).map_or(&[], Vec::as_slice)
     }
 
-    /// All upstreams.
-    pub fn all(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
+    /// Every upstream with its group.
+    pub fn states(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
         let groups = self.groups.iter();
         groups.flat_map(|(name, states)| states.iter().map(move |state| (name.as_str(), state)))
     }
@@ -147,6 +178,7 @@
         rules: PickRules<'_>,
     ) -> Vec<(UpstreamView, bool)> {
         let now_ms = unix_ms();
+        let withheld = self.withheld.read().expect("not poisoned");
         let instances = self.instances.load(Ordering::Relaxed);
         let snapshots: Vec<_> = states
             .iter()
@@ -160,7 +192,8 @@
         let view = |index: usize| {
             let (state, snapshot) = (&states[index], &snapshots[index]);
             let excluded = rules.excluded.contains(&state.upstream);
-            let open = healthy[index] && !snapshot.leaving && !excluded;
+            let withheld = withheld.contains(&state.upstream);
+            let open = healthy[index] && !snapshot.leaving && !excluded && !withheld;
             let view = UpstreamView {
                 upstream: state.upstream.clone(),
                 available: open && (snapshot.has_room || !rules.with_room),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file is a crate of its own and uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod raw;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -68,6 +70,35 @@
     }
 }
 
+/// What a run of `amaranth-ctl` gave.
+#[derive(Debug)]
+pub struct CtlRun {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl CtlRun {
+    /// The answer to the last statement.
+    pub fn answer(&self) -> Value {
+        let line = self.stdout.lines().last().unwrap_or("");
+        serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON answer: {self:?}"))
+    }
+
+    /// The rows of an answer to `show`, by column.
+    pub fn rows(&self) -> Vec<Value> {
+        let answer = self.answer();
+        let columns = answer["result"]["columns"].as_array().expect("columns");
+        let rows = answer["result"]["rows"].as_array().expect("rows");
+        let by_column = |row: &Value| {
+            let cells = columns.iter().zip(row.as_array().expect("cells"));
+            let cells = cells.map(|(c, v)| (c.as_str().expect("a name").to_owned(), v.clone()));
+            Value::Object(cells.collect())
+        };
+        rows.iter().map(by_column).collect()
+    }
+}
+
 /// A platform, engines and entry instances as separate processes on loopback.
 pub struct TestFleet {
     pub platform: TestProcess,
@@ -89,13 +120,24 @@
         entries: usize,
         engine_args: &[&str],
         platform_args: &[&str],
+    ) -> Self {
+        Self::start_configured(engines, entries, engine_args, platform_args, |_| {}).await
+    }
+
+    /// Starts a fleet whose settings were changed by a function.
+    pub async fn start_configured(
+        engines: usize,
+        entries: usize,
+        engine_args: &[&str],
+        platform_args: &[&str],
+        change: impl FnOnce(&mut Value),
     ) -> Self {
         let platform = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-platform"), platform_args);
         let start_engine =
             |_| TestProcess::start(env!("CARGO_BIN_EXE_amaranth-engine"), engine_args);
         let engines: Vec<_> = (0..engines).map(start_engine).collect();
         let names: Vec<_> = (1..=entries).map(|n| format!("entry-{n}")).collect();
-        let settings = write_settings(&platform, &engines, &names);
+        let settings = write_settings(&platform, &engines, &names, change);
         let mut fleet = Self {
             platform,
             engines,
@@ -121,6 +163,48 @@
         self.entries.insert(name.to_owned(), entry);
     }
 
+    /// Starts one instance with settings that differ from the others'.
+    pub fn start_entry_with(&mut self, name: &str, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("valid JSON");
+        change(&mut settings);
+        let path = self.settings.with_extension(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+        let text = path.to_str().expect("a plain path");
+        let args = ["--settings", text, "--instance", name];
+        let entry = TestProcess::start(env!("CARGO_BIN_EXE_amaranth-entry"), &args);
+        let _ = std::fs::remove_file(path);
+        self.entries.insert(name.to_owned(), entry);
+    }
+
+    /// Appends bytes to the log, as an operators' own tool would.
+    pub async fn publish(&self, bytes: impl Into<Vec<u8>>) -> u64 {
+        let call = HttpCall::post(self.platform.address, "/log/append").with_body(bytes.into());
+        let reply: Value = self
+            .client
+            .fetch_json(call, LIMITS)
+            .await
+            .expect("an answer");
+        reply["offset"].as_u64().expect("an offset")
+    }
+
+    /// Runs statements of the operators' language through `amaranth-ctl`.
+    pub fn ctl(&self, name: &str, args: &[&str]) -> CtlRun {
+        let address = self.address(name).to_string();
+        let output = Command::new(env!("CARGO_BIN_EXE_amaranth-ctl"))
+            .args(["--instance", &address, "--json"])
+            .args(args)
+            .stdin(Stdio::null())
+            .output()
+            .expect("amaranth-ctl runs");
+        let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+        CtlRun {
+            code: output.status.code(),
+            stdout: text(output.stdout),
+            stderr: text(output.stderr),
+        }
+    }
+
     /// Address of an instance.
     pub fn address(&self, name: &str) -> SocketAddr {
         self.entries[name].address
@@ -153,6 +237,27 @@
         String::from_utf8(body.to_vec()).expect("text")
     }
 
+    /// A call on an instance with any method and headers.
+    pub async fn call(
+        &self,
+        name: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: impl Into<Vec<u8>>,
+    ) -> (u16, Value) {
+        let method = method.parse().expect("a method");
+        let call = HttpCall::new(method, self.address(name), path)
+            .with_headers(header_map(headers))
+            .with_body(body.into());
+        let (status, body) = self.client.fetch(call, LIMITS).await.expect("an answer");
+        let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
+        (
+            status,
+            serde_json::from_slice(&body).unwrap_or_else(|_| text()),
+        )
+    }
+
     /// A `POST` on an instance.
     pub async fn post(
         &self,
@@ -175,13 +280,8 @@
         headers: &[(&'static str, &str)],
         body: impl Into<String>,
     ) -> Result<HttpAnswer, HttpError> {
-        let mut map = HeaderMap::new();
-        for (header, value) in headers {
-            let value = HeaderValue::from_str(value).expect("a plain value");
-            map.insert(HeaderName::from_static(header), value);
-        }
         let call = HttpCall::post(self.address(name), path)
-            .with_headers(map)
+            .with_headers(header_map(headers))
             .with_body(body.into());
         self.client.send(call, LIMITS).await
     }
@@ -237,6 +337,15 @@
     }
 }
 
+fn header_map(headers: &[(&'static str, &str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (header, value) in headers {
+        let value = HeaderValue::from_str(value).expect("a plain value");
+        map.insert(HeaderName::from_static(header), value);
+    }
+    map
+}
+
 /// Body of a chat completion call.
 pub fn chat(prompt: &str, tokens: u32, stream: bool) -> String {
     json!({
@@ -281,7 +390,12 @@
     (0..items).map(line).collect()
 }
 
-fn write_settings(platform: &TestProcess, engines: &[TestProcess], names: &[String]) -> PathBuf {
+fn write_settings(
+    platform: &TestProcess,
+    engines: &[TestProcess],
+    names: &[String],
+    change: impl FnOnce(&mut Value),
+) -> PathBuf {
     let addresses: Vec<_> = engines.iter().map(|e| e.address.to_string()).collect();
     let centre = |index: usize| {
         if index.is_multiple_of(2) {
@@ -295,7 +409,7 @@
         .enumerate()
         .map(|(index, name)| json!({"name": name, "data_centre": centre(index)}))
         .collect();
-    let settings = json!({
+    let mut settings = json!({
         "fleet": "test",
         "data_centres": ["dc-a", "dc-b"],
         "platform": {"address": platform.address.to_string()},
@@ -310,6 +424,7 @@
         }],
         "tiers": [{"name": "shading", "upstreams": "sketch-llm", "batch": true}],
     });
+    change(&mut settings);
     let file = format!("settings-{}.jsonc", platform.address.port());
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
     std::fs::write(&path, settings.to_string()).expect("settings can be written");
