Recognise keyed requests, run some at most once and keep results

Cause: a request that came again was run again, a lost reply of a call that may not be repeated left the caller to guess, and an answer was gone with its instance. Change: a call that may not be repeated is announced on the log and sent only when its own attempt's intent was read back as the first; a log that can't be reached refuses it ("ran: no"); a lost reply is unknown until the service's account of the key shows the answer. A repeatable keyed request is claimed at its two keepers (rendezvous, the second in another data centre), its answer is kept there before it ends, and given again by any instance. A planned stop waits for streams that callers still read, then hands its copies over. Ruled out: naming the process in the intent: after an append of unknown fate a later attempt of the same process could read the earlier intent as its own and both could be sent; each attempt has a random name. Taking an account without a run as proof that a call was not sent: it may still be on its way.

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -9,15 +9,17 @@
 use amaranth_settings::upstream::UpstreamKind;
 use amaranth_wire::engine::prefix_hashes;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::TeamId;
+use amaranth_wire::id::{RequestId, TeamId};
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
 use serde_json::Value;
+use sha2::{Digest, Sha256};
 use volo_http::response::Response;
 
 use crate::batch_intake::{DEADLINE_HEADER, KEY_HEADER};
+use crate::batch_upload::hex;
 use crate::context::{InstanceContext, Result};
 use crate::request_run;
 
@@ -84,8 +86,8 @@
     pub stream: bool,
     /// The body as the caller sent it.
     pub body: Bytes,
-    /// The caller's name for it.
-    pub key: Option<String>,
+    /// The caller's name for it, hashed with its team.
+    pub key: Option<RequestId>,
     /// Whether it may be run more than once.
     pub repeatable: bool,
     /// When it came, by the steady clock.
@@ -94,6 +96,19 @@
     pub deadline_ms: u64,
 }
 
+impl OnlineRequest {
+    /// SHA-256 of what makes a request the same as another.
+    pub fn digest(&self) -> String {
+        let mut digest = Sha256::new();
+        digest.update(format!(
+            "{} {} {}\n",
+            self.tier.name, self.method, self.path
+        ));
+        digest.update(&self.body);
+        hex(&digest.finalize())
+    }
+}
+
 /// Limits on the bodies of online requests.
 pub fn online_limits(context: &InstanceContext) -> BodyLimits {
     let bodies = &context.config.fleet.bodies;
@@ -189,8 +204,10 @@
         let mut headers = HeaderMap::new();
         let json = HeaderValue::from_static(amaranth_net::answer::JSON);
         headers.insert(CONTENT_TYPE, json);
-        if let Some(key) = self.key.as_deref().and_then(|key| key.parse().ok()) {
-            headers.insert(HeaderName::from_static(KEY_HEADER), key);
+        let key = self.key.map(|key| request_id(&self.team, &key));
+        if let Some(key) = &key {
+            let value = HeaderValue::from_str(key.as_str()).expect("hexadecimal is plain text");
+            headers.insert(HeaderName::from_static(KEY_HEADER), value);
         }
         let deadline_in_ms = self.deadline_in_ms.unwrap_or(tier.deadline.as_millis());
         OnlineRequest {
@@ -202,7 +219,7 @@
             prefix: None,
             stream: false,
             body,
-            key: self.key,
+            key,
             repeatable: self.repeatable.unwrap_or(tier.repeatable),
             arrived_ms: self.arrived_ms,
             deadline_ms: self.arrived_ms.saturating_add(deadline_in_ms),
@@ -211,6 +228,13 @@
     }
 }
 
+/// The same for every instance that receives the same key of the same team.
+pub fn request_id(team: &TeamId, key: &str) -> RequestId {
+    let digest = hex(&Sha256::digest(format!("request\n{team}\n{key}")));
+    let id = format!("req_{}", &digest[..32]);
+    id.parse().expect("hexadecimal is a valid identifier")
+}
+
 fn parse_header<T: std::str::FromStr>(
     request: &RouteRequest,
     name: &str,
--- a/crates/entry/src/caller_port.rs
+++ b/crates/entry/src/caller_port.rs
@@ -2,10 +2,13 @@
 
 use amaranth_net::answer;
 use amaranth_wire::error::CallError;
+use amaranth_wire::id::RequestId;
 use bytes::Bytes;
 use futures_util::stream;
+use http::HeaderValue;
 use http_body::Frame;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::task::TaskTracker;
 use volo_http::body::Body;
 use volo_http::response::Response;
 
@@ -14,21 +17,32 @@
 /// Pieces of a streamed answer that may wait for a slow caller.
 const STREAM_BUFFER: usize = 64;
 
+/// Header that names a keyed request, as `GET /v1/requests/{id}` takes it.
+pub const REQUEST_ID_HEADER: &str = "amaranth-request-id";
+
 type Piece = std::result::Result<Frame<Bytes>, volo_http::error::BoxError>;
 
 /// Where a request's answer goes. The caller has gone when the other end is dropped.
 pub struct CallerPort {
     head: Option<oneshot::Sender<Result<Response>>>,
     pieces: Option<mpsc::Sender<Piece>>,
+    request: Option<RequestId>,
+    work: TaskTracker,
 }
 
 impl CallerPort {
-    /// A port and what the request's handler waits for.
-    pub fn new() -> (Self, oneshot::Receiver<Result<Response>>) {
+    /// A port and what the request's handler waits for. Answers name a keyed request.
+    /// A streamed answer counts as work until the caller has it all.
+    pub fn new(
+        request: Option<RequestId>,
+        work: TaskTracker,
+    ) -> (Self, oneshot::Receiver<Result<Response>>) {
         let (head, receiver) = oneshot::channel();
         let port = Self {
             head: Some(head),
             pieces: None,
+            request,
+            work,
         };
         (port, receiver)
     }
@@ -66,12 +80,14 @@
     pub fn start_stream(&mut self) {
         let Some(head) = self.head.take() else { return };
         let (sender, receiver) = mpsc::channel::<Piece>(STREAM_BUFFER);
-        let pieces = stream::unfold(receiver, |mut receiver| async {
+        let state = (receiver, self.work.token());
+        let pieces = stream::unfold(state, |(mut receiver, token)| async {
             let piece = receiver.recv().await?;
-            Some((piece, receiver))
+            Some((piece, (receiver, token)))
         });
         let body = Body::from_stream(pieces);
-        let _ = head.send(Ok(answer::stream(200, answer::EVENT_STREAM, body)));
+        let response = answer::stream(200, answer::EVENT_STREAM, body);
+        let _ = head.send(Ok(named(response, self.request.as_ref())));
         self.pieces = Some(sender);
     }
 
@@ -87,7 +103,8 @@
     /// Ends with an answer in one piece.
     pub fn answer(&mut self, result: Result<Response>) {
         if let Some(head) = self.head.take() {
-            let _ = head.send(result);
+            let named = result.map(|response| named(response, self.request.as_ref()));
+            let _ = head.send(named);
         }
     }
 
@@ -100,3 +117,12 @@
         self.answer(Err(error));
     }
 }
+
+fn named(mut response: Response, request: Option<&RequestId>) -> Response {
+    if let Some(request) = request {
+        let value = HeaderValue::from_str(request.as_str());
+        let value = value.expect("identifiers are plain text");
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -18,6 +18,7 @@
 use crate::config::EntryConfig;
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
+use crate::kept_results::ResultShelf;
 use crate::log_client::LogClient;
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
@@ -47,6 +48,8 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// Results that this instance keeps.
+    pub results: ResultShelf,
     /// Online requests that wait for room.
     pub admission: AdmissionDesk,
     /// The callers' keys.
@@ -84,6 +87,7 @@
             callers: CallerKeys::new(&config.fleet.teams),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            results: ResultShelf::new(),
             admission: AdmissionDesk::new(&config.fleet),
             sights: PeerSights::default(),
             relay: LogRelay::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod gossip;
 pub mod item_reader;
 pub mod item_run;
+pub mod kept_results;
+pub mod keyed_call;
 pub mod lease_keeper;
 pub mod load_poll;
 pub mod log_client;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,13 +15,22 @@
 use crate::context::InstanceContext;
 use crate::log_client::LogClient;
 use crate::shared_state::SharedState;
-use crate::{admit, follower, gossip, load_poll, membership, owner, plan_watch, routes};
+use crate::{
+    admit, follower, gossip, kept_results, load_poll, membership, owner, plan_watch, routes,
+};
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
 const NOTICE_PERIOD: Duration = Duration::from_secs(2);
 /// Longest wait for work in progress; what is left then is cut and logged.
 const FINISH_LIMIT: Duration = Duration::from_secs(60);
 
+/// Longest wait for other instances to take the results that are kept here.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the calls in progress.
+const FINISH_POLL: Duration = Duration::from_millis(20);
+/// Time for the last bytes of answers to leave the process.
+const FLUSH_PERIOD: Duration = Duration::from_millis(200);
+
 /// Result of running an instance.
 pub type Result<T> = std::io::Result<T>;
 
@@ -57,6 +66,15 @@
 }
 
 impl RunningInstance {
+    /// Waits until no work is in progress and the last answers are on their way.
+    async fn finish(&self) {
+        self.context.work.wait().await;
+        while self.context.calls.in_progress() > 0 {
+            sleep(FINISH_POLL).await;
+        }
+        sleep(FLUSH_PERIOD).await;
+    }
+
     /// Stops without cutting work: not ready first, then no new work, then the end.
     pub async fn stop(&self) {
         let context = &self.context;
@@ -64,10 +82,16 @@
         log::info!("event=leaving instance={}", context.config.instance);
         sleep(NOTICE_PERIOD).await;
         context.work.close();
-        if timeout(FINISH_LIMIT, context.work.wait()).await.is_err() {
-            let left = context.work.len();
+        if timeout(FINISH_LIMIT, self.finish()).await.is_err() {
+            let left = context.work.len() + context.calls.in_progress();
             log::error!("event=finish_limit_reached cut={left}");
         }
+        let handed = timeout(HAND_OVER_LIMIT, kept_results::hand_over(context)).await;
+        match handed {
+            Ok(0) => {}
+            Ok(left) => log::error!("event=results_not_handed_over count={left}"),
+            Err(_) => log::error!("event=hand_over_limit_reached"),
+        }
         context.stop.cancel();
         log::info!("event=stopped instance={}", context.config.instance);
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -5,7 +5,7 @@
 use amaranth_kernel::retry::AttemptFailure;
 use amaranth_kernel::stream_assembly::{EventStep, StreamAssembly, StreamEvent};
 use amaranth_net::clock::steady_ms;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::Event;
 use futures_util::StreamExt;
 use serde::Deserialize;
@@ -22,7 +22,7 @@
 /// How relaying one stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayEnd {
-    /// The caller has the whole answer.
+    /// The caller has every token.
     Whole,
     /// The caller left.
     CallerGone,
@@ -41,14 +41,42 @@
     error: Option<&'a RawValue>,
 }
 
-/// Sends on what the caller does not have yet. `relayed_id` is the answer's name as the caller
-/// knows it; an answer generated again goes on under it.
+/// What the caller has of a streamed answer.
+#[derive(Debug, Default)]
+pub struct RelayedAnswer {
+    /// Its tokens.
+    pub assembly: StreamAssembly,
+    /// When they came.
+    pub times: RequestTimes,
+    /// Its events, where they are to be kept.
+    pub kept: Option<BytesMut>,
+    /// The answer's name as the caller knows it; an answer generated again goes on under it.
+    id: Option<String>,
+}
+
+impl RelayedAnswer {
+    /// Nothing sent yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Collects the events, so that they can be kept.
+    pub fn with_kept_events(mut self) -> Self {
+        self.kept = Some(BytesMut::new());
+        self
+    }
+}
+
+/// The end marker, sent when the answer is whole and kept.
+pub fn end_piece() -> Bytes {
+    data_piece(END_MARKER)
+}
+
+/// Sends on what the caller does not have yet, up to the end marker.
 pub async fn relay(
     mut events: EventReader,
-    assembly: &mut StreamAssembly,
+    relayed: &mut RelayedAnswer,
     port: &mut CallerPort,
-    times: &mut RequestTimes,
-    relayed_id: &mut Option<String>,
     arrived_ms: u64,
 ) -> RelayEnd {
     loop {
@@ -58,18 +86,16 @@
             Some(Some(Err(failure))) => return RelayEnd::Failed(failure),
             Some(Some(Ok(event))) => event,
         };
-        let piece = match take_event(&event, assembly, relayed_id) {
+        let piece = match take_event(&event, &mut relayed.assembly, &mut relayed.id) {
             Err(failure) => return RelayEnd::Failed(failure),
             Ok((EventStep::Skip, _)) => continue,
-            Ok((EventStep::Finish, data)) => {
-                return match port.send(data).await {
-                    true => RelayEnd::Whole,
-                    false => RelayEnd::CallerGone,
-                };
-            }
+            Ok((EventStep::Finish, _)) => return RelayEnd::Whole,
             Ok((EventStep::Forward, data)) => data,
         };
-        times.note_token(arrived_ms, steady_ms());
+        relayed.times.note_token(arrived_ms, steady_ms());
+        if let Some(kept) = &mut relayed.kept {
+            kept.extend_from_slice(&piece);
+        }
         if !port.send(piece).await {
             return RelayEnd::CallerGone;
         }
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use amaranth_kernel::retry::{AttemptFailure, NextStep, RequestProgress, first_step, next_step};
-use amaranth_kernel::stream_assembly::StreamAssembly;
 use amaranth_net::answer;
 use amaranth_net::client::HttpAnswer;
 use amaranth_net::clock::steady_ms;
 use amaranth_settings::upstream::UpstreamKind;
 use amaranth_wire::error::{CallError, ErrorKind, RanState};
 use amaranth_wire::id::UpstreamId;
+use amaranth_wire::record::KeptAnswer;
+use bytes::Bytes;
+use http::HeaderValue;
 use serde::Deserialize;
 use tokio::time::{sleep, timeout};
 use volo_http::response::Response;
@@ -23,7 +25,8 @@
 use crate::attempt::{self, AttemptLimits};
 use crate::caller_port::CallerPort;
 use crate::context::{InstanceContext, Result};
-use crate::relay::{self, RelayEnd};
+use crate::keyed_call::{self, KeyedStep, ResultPlan};
+use crate::relay::{self, RelayEnd, RelayedAnswer};
 use crate::settle::{RequestEnd, RequestTimes, settle};
 use crate::upstream_table::InFlightGuard;
 
@@ -32,6 +35,9 @@
 /// Status of a call that is to be repeated later.
 const TOO_MANY_REQUESTS: u16 = 429;
 
+/// Header that says where the result of a keyed request is kept: `log`, `peers=N` or `no`.
+const KEPT_HEADER: &str = "amaranth-kept";
+
 static STREAM_COUNTER: AtomicU64 = AtomicU64::new(0);
 
 /// How one attempt or resume ended.
@@ -44,18 +50,33 @@
 
 /// Gets the answer to a request.
 pub async fn answer(context: Arc<InstanceContext>, request: OnlineRequest) -> Result<Response> {
-    let (port, receiver) = CallerPort::new();
     let work = context.work.clone();
+    let (port, receiver) = CallerPort::new(request.key.clone(), work.clone());
     work.spawn(run(context, request, port));
     let lost = || CallError::new(ErrorKind::Internal, "the request's task ended early");
     receiver.await.map_err(|_| lost())?
 }
 
-async fn run(context: Arc<InstanceContext>, request: OnlineRequest, port: CallerPort) {
-    context.upstreams.note_request(&request.tier.name);
-    let mut run = RequestRun::new(context, request, port);
-    let end = run.drive().await;
-    run.finish(end);
+async fn run(context: Arc<InstanceContext>, request: OnlineRequest, mut port: CallerPort) {
+    let end = match keyed_call::begin(&context, &request).await {
+        KeyedStep::Run(plan) => {
+            context.upstreams.note_request(&request.tier.name);
+            let mut run = RequestRun::new(context, request, port, plan);
+            let end = run.drive().await;
+            return run.finish(end).await;
+        }
+        KeyedStep::Replay(kept) => {
+            let status = kept.status;
+            port.answer(Ok(keyed_call::replay(kept)));
+            RequestEnd::Answered(status)
+        }
+        KeyedStep::Refuse(error) => {
+            let end = RequestEnd::Failed(error.kind, error.ran);
+            port.fail(error);
+            end
+        }
+    };
+    settle(&request, end, &RequestTimes::default(), steady_ms());
 }
 
 struct RequestRun {
@@ -63,9 +84,8 @@
     request: OnlineRequest,
     port: CallerPort,
     progress: RequestProgress,
-    assembly: StreamAssembly,
-    times: RequestTimes,
-    relayed_id: Option<String>,
+    relayed: RelayedAnswer,
+    plan: ResultPlan,
     current: Option<NamedStream>,
     excluded: Vec<UpstreamId>,
 }
@@ -78,12 +98,20 @@
 }
 
 impl RequestRun {
-    fn new(context: Arc<InstanceContext>, request: OnlineRequest, port: CallerPort) -> Self {
+    fn new(
+        context: Arc<InstanceContext>,
+        request: OnlineRequest,
+        port: CallerPort,
+        plan: ResultPlan,
+    ) -> Self {
+        let relayed = match plan {
+            ResultPlan::Unkept => RelayedAnswer::new(),
+            _ => RelayedAnswer::new().with_kept_events(),
+        };
         Self {
             progress: RequestProgress::new(request.repeatable, request.deadline_ms),
-            assembly: StreamAssembly::new(),
-            times: RequestTimes::default(),
-            relayed_id: None,
+            relayed,
+            plan,
             current: None,
             excluded: Vec::new(),
             context,
@@ -125,17 +153,48 @@
     }
 
     /// Tells the caller of a failure and ends the upstream's work unless it is done.
-    fn finish(&mut self, end: RequestEnd) {
+    async fn finish(&mut self, end: RequestEnd) {
+        let plan = std::mem::replace(&mut self.plan, ResultPlan::Unkept);
         match end {
-            RequestEnd::Answered(_) => self.note_answer(),
-            RequestEnd::CallerGone => self.cancel_current(),
+            RequestEnd::Answered(_) => {}
+            RequestEnd::CallerGone => {
+                self.cancel_current();
+                keyed_call::fail(&self.context, &self.request, plan, self.progress.ran());
+            }
             RequestEnd::Failed(kind, ran) => {
                 self.cancel_current();
                 let message = failure_message(kind);
                 self.port.fail(CallError::new(kind, message).with_ran(ran));
+                keyed_call::fail(&self.context, &self.request, plan, ran);
             }
         }
-        settle(&self.request, end, &self.times, steady_ms());
+        settle(&self.request, end, &self.relayed.times, steady_ms());
+    }
+
+    /// Has the answer kept, then gives it to the caller.
+    async fn give_whole(&mut self, kept: KeptAnswer, content_type: &'static str, body: Bytes) {
+        let status = kept.status;
+        let place = keyed_call::keep(&self.context, &self.request, &self.plan, kept).await;
+        let mut response = answer::bytes(status, content_type, body);
+        if self.plan != ResultPlan::Unkept {
+            let value = HeaderValue::from_str(&place).expect("plain text");
+            response.headers_mut().insert(KEPT_HEADER, value);
+        }
+        self.port.answer(Ok(response));
+    }
+
+    /// Has a streamed answer kept, then ends it.
+    async fn end_stream(&mut self) {
+        if let Some(mut body) = self.relayed.kept.take() {
+            body.extend_from_slice(&relay::end_piece());
+            let kept = KeptAnswer {
+                status: 200,
+                content_type: answer::EVENT_STREAM.to_owned(),
+                body: body.to_vec(),
+            };
+            keyed_call::keep(&self.context, &self.request, &self.plan, kept).await;
+        }
+        self.port.send(relay::end_piece()).await;
     }
 
     fn note_answer(&mut self) {
@@ -221,8 +280,8 @@
         self.progress.attempts += 1;
         self.progress.fruitless_resumes = 0;
         self.progress.resumable = false;
-        self.times.attempts += 1;
-        self.assembly.restart();
+        self.relayed.times.attempts += 1;
+        self.relayed.assembly.restart();
     }
 
     async fn take_answer(&mut self, answer: HttpAnswer, limits: AttemptLimits) -> AttemptEnd {
@@ -249,8 +308,16 @@
             }
             Ok(_) if self.port.is_streaming() => AttemptEnd::Failed(AttemptFailure::WrongStream),
             Ok(body) => {
-                self.port
-                    .answer(Ok(answer::bytes(status, content_type, body)));
+                self.note_answer();
+                let kept = KeptAnswer {
+                    status,
+                    content_type: content_type.to_owned(),
+                    body: match self.plan {
+                        ResultPlan::Unkept => Vec::new(),
+                        _ => body.to_vec(),
+                    },
+                };
+                self.give_whole(kept, content_type, body).await;
                 AttemptEnd::Done(RequestEnd::Answered(status))
             }
         }
@@ -260,14 +327,14 @@
     /// newest generation.
     async fn resume(&mut self) -> AttemptEnd {
         self.progress.fruitless_resumes += 1;
-        self.times.resumes += 1;
+        self.relayed.times.resumes += 1;
         let limits = self.limits().for_resume();
         let current = self
             .current
             .as_ref()
             .expect("a resumable stream is current");
         let upstream = current.guard.upstream();
-        let last = self.assembly.last_received();
+        let last = self.relayed.assembly.last_received();
         let resumed = attempt::resume(upstream, &current.stream_id, last, limits);
         match self.port.wait(resumed).await {
             None => AttemptEnd::Done(RequestEnd::CallerGone),
@@ -281,18 +348,13 @@
 
     async fn relay(&mut self, answer: HttpAnswer, limits: AttemptLimits) -> AttemptEnd {
         self.port.start_stream();
-        let sent_before = self.assembly.last_received();
-        let relay = relay::relay(
-            attempt::events(answer, limits),
-            &mut self.assembly,
-            &mut self.port,
-            &mut self.times,
-            &mut self.relayed_id,
-            self.request.arrived_ms,
-        );
-        let left = Duration::from_millis(self.request.deadline_ms.saturating_sub(steady_ms()));
+        let sent_before = self.relayed.assembly.last_received();
+        let left = self.left();
+        let events = attempt::events(answer, limits);
+        let arrived_ms = self.request.arrived_ms;
+        let relay = relay::relay(events, &mut self.relayed, &mut self.port, arrived_ms);
         let end = timeout(left, relay).await;
-        if self.assembly.last_received() != sent_before {
+        if self.relayed.assembly.last_received() != sent_before {
             self.progress.fruitless_resumes = 0;
         }
         match end {
@@ -300,7 +362,11 @@
                 let end = RequestEnd::Failed(ErrorKind::DeadlineMissed, RanState::Unknown);
                 AttemptEnd::Done(end)
             }
-            Ok(RelayEnd::Whole) => AttemptEnd::Done(RequestEnd::Answered(200)),
+            Ok(RelayEnd::Whole) => {
+                self.note_answer();
+                self.end_stream().await;
+                AttemptEnd::Done(RequestEnd::Answered(200))
+            }
             Ok(RelayEnd::CallerGone) => AttemptEnd::Done(RequestEnd::CallerGone),
             Ok(RelayEnd::Failed(failure)) => AttemptEnd::Failed(failure),
         }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -6,6 +6,7 @@
 use amaranth_net::{answer, telemetry};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
+use amaranth_wire::message::KEEPER_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
 use volo_http::response::Response;
@@ -15,8 +16,8 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_intake, batch_view, files, gossip, log_relay, models, operator, operator_command,
-    operator_peers, operator_query,
+    accept, batch_intake, batch_view, files, gossip, kept_results, keyed_call, log_relay, models,
+    operator, operator_command, operator_peers, operator_query,
 };
 
 /// The server of an instance.
@@ -51,7 +52,9 @@
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
     let service = any(handler(context, metered(accept::service)));
+    let kept = get(handler(context, metered(keyed_call::show)));
     router
+        .route("/v1/requests/{id}", only(context, "GET", kept))
         .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
@@ -88,6 +91,9 @@
 /// Paths of peers.
 fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let exchange = post(handler(context, gossip::handle));
+    let keeper = post(handler(context, kept_results::serve));
+    let keeper = only(context, "POST", keeper);
+    let router = router.route(format!("{KEEPER_PATH}/{{id}}"), keeper);
     let entries = get(handler(context, log_relay::entries));
     let changes = get(handler(context, log_relay::changes));
     let rows = post(handler(context, operator_peers::answer_question));
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -11,6 +11,7 @@
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
 use amaranth_kernel::log_clock::LogClock;
+use amaranth_kernel::request_intents::IntentTable;
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
 use amaranth_wire::record::{BatchEntry, LogRecord};
@@ -44,6 +45,7 @@
     jobs: Vec<Mutex<JobLedger>>,
     files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
+    intents: Mutex<IntentTable>,
     changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
@@ -63,6 +65,7 @@
                 .collect(),
             files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
+            intents: Mutex::new(IntentTable::new()),
             changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
@@ -163,6 +166,11 @@
         self.folded.send_replace(cursor.next());
     }
 
+    /// Calls that may run at most once.
+    pub fn intents(&self) -> MutexGuard<'_, IntentTable> {
+        self.intents.lock().expect("not poisoned")
+    }
+
     /// The leases.
     pub fn leases(&self) -> RwLockReadGuard<'_, LeaseTable> {
         self.leases.read().expect("not poisoned")
@@ -202,6 +210,10 @@
                 let mut leases = self.leases.write().expect("not poisoned");
                 leases.apply(offset, time_ms, record);
             }
+            LogRecord::CallIntended { .. } | LogRecord::CallEnded { .. } => {
+                let mut intents = self.intents.lock().expect("not poisoned");
+                intents.apply(offset, time_ms, record);
+            }
             // Folded by `fold_changes`, an entry at a time.
             LogRecord::ConfigProposed { .. }
             | LogRecord::PlanProposed { .. }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
+pub mod request_intents;
+pub mod result_store;
 pub mod retry;
 pub mod routing;
 pub mod setting_table;
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -9,8 +9,8 @@
 
 use crate::change::{PlanSpec, PlanStep};
 use crate::id::{
-    CommandId, ConfigRevision, InstanceId, JobId, LeaseEpoch, LogOffset, ShardId, TeamId, TierId,
-    WriterId,
+    CommandId, ConfigRevision, InstanceId, JobId, LeaseEpoch, LogOffset, RequestId, ShardId,
+    TeamId, TierId, WriterId,
 };
 
 /// Largest encoded batch, in bytes; the log refuses larger appends.
@@ -203,6 +203,50 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
+    /// Announces a call that may run at most once. It is sent only after this was read back.
+    CallIntended {
+        /// The caller's name for it, hashed with its team.
+        request: RequestId,
+        /// SHA-256 of the call, hexadecimal.
+        digest: String,
+        /// Random name of the one attempt that may send it.
+        attempt: u64,
+        /// How long after this record the call can still run, in milliseconds.
+        limit_ms: u64,
+    },
+    /// Tells how an announced call ended.
+    CallEnded {
+        /// The call.
+        request: RequestId,
+        /// The attempt that tells; 0 for evidence from elsewhere.
+        attempt: u64,
+        /// How it ended.
+        ending: CallEnding,
+    },
+}
+
+/// An answer that is kept, so that it can be given again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// Body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// How a call that may run at most once ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallEnding {
+    /// It ran, with this answer.
+    Answered(KeptAnswer),
+    /// It ran; its answer could not be kept.
+    AnswerNotKept,
+    /// It was provably never sent.
+    NotSent,
 }
 
 /// The content of one append.
