--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -121,26 +121,23 @@
 /// Handles a completion call of a caller.
 pub async fn completion(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let team = context.callers.team(&request)?;
-    let accepted = accept_completion(&context, request, team).await?;
+    let accepted = accept_completion(&context, request).await?;
     request_run::answer(context, accepted).await
 }
 
 /// Handles a call of a plain service.
 pub async fn service(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     context.check_started()?;
-    let team = context.callers.team(&request)?;
-    let accepted = accept_service(&context, request, team).await?;
+    let accepted = accept_service(&context, request).await?;
     request_run::answer(context, accepted).await
 }
 
 async fn accept_completion(
     context: &InstanceContext,
     request: RouteRequest,
-    team: TeamId,
 ) -> Result<OnlineRequest> {
     let named_tier = request.header(TIER_HEADER).map(str::to_owned);
-    let options = RequestOptions::read(&request, team)?;
+    let options = RequestOptions::read(context, &request)?;
     let path = request.path().to_owned();
     let body = read_all(request.into_body(), online_limits(context)).await?;
     let head: RequestHead = serde_json::from_slice(&body)
@@ -153,13 +150,9 @@
     Ok(accepted)
 }
 
-async fn accept_service(
-    context: &InstanceContext,
-    request: RouteRequest,
-    team: TeamId,
-) -> Result<OnlineRequest> {
+async fn accept_service(context: &InstanceContext, request: RouteRequest) -> Result<OnlineRequest> {
     let tier = find_tier(context, Some(request.param(0)), "")?.clone();
-    let options = RequestOptions::read(&request, team)?;
+    let options = RequestOptions::read(context, &request)?;
     let method = request.method().clone();
     let path = service_path(request.path());
     let content_type = request.headers().get(CONTENT_TYPE).cloned();
@@ -189,9 +182,9 @@
 }
 
 impl RequestOptions {
-    fn read(request: &RouteRequest, team: TeamId) -> Result<Self> {
+    fn read(context: &InstanceContext, request: &RouteRequest) -> Result<Self> {
         Ok(Self {
-            team,
+            team: context.callers.team(request)?,
             key: request.header(KEY_HEADER).map(str::to_owned),
             repeatable: parse_header(request, REPEATABLE_HEADER, "true or false")?,
             deadline_in_ms: parse_header(request, DEADLINE_HEADER, "a number of milliseconds")?,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -50,12 +50,12 @@
     pub upstreams: UpstreamTable,
     /// Results that this instance keeps.
     pub results: ResultShelf,
-    /// Online requests that wait for room.
-    pub admission: AdmissionDesk,
     /// The callers' keys.
     pub callers: CallerKeys,
     /// Calls in progress.
     pub calls: CallMeter,
+    /// Online requests that wait for room.
+    pub admission: AdmissionDesk,
     /// The other instances.
     pub members: MemberTable,
     /// When the other instances were last heard.
@@ -88,9 +88,9 @@
             calls: CallMeter::default(),
             members: MemberTable::default(),
             results: ResultShelf::new(),
-            admission: AdmissionDesk::new(&config.fleet),
             sights: PeerSights::default(),
             relay: LogRelay::default(),
+            admission: AdmissionDesk::new(&config.fleet),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
--- a/crates/entry/src/load_poll.rs
+++ b/crates/entry/src/load_poll.rs
@@ -32,10 +32,10 @@
 }
 
 async fn poll_loads(context: &InstanceContext) {
-    let count = context.upstreams.states().count() as u32;
+    let count = context.upstreams.all().count() as u32;
     let period = POLL_PERIOD.max(PERIOD_PER_UPSTREAM * count);
     loop {
-        let polls = context.upstreams.states();
+        let polls = context.upstreams.all();
         let polls = polls.map(|(group, state)| poll(state, gap_objective_us(context, group)));
         join_all(polls).await;
         sleep(period).await;
@@ -97,7 +97,7 @@
 fn take_list(context: &InstanceContext, listed: &[ListedUpstream]) {
     let leaving = listed.iter().filter(|row| row.leaving);
     let leaving: HashSet<_> = leaving.map(|row| &row.upstream).collect();
-    for (_, state) in context.upstreams.states() {
+    for (_, state) in context.upstreams.all() {
         state.set_listed_leaving(leaving.contains(&state.upstream));
     }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -58,9 +58,9 @@
     tokio::spawn(membership::run(context.clone(), address));
     tokio::spawn(gossip::run(context.clone()));
     tokio::spawn(owner::run(context.clone()));
+    tokio::spawn(plan_watch::run(context.clone()));
     tokio::spawn(load_poll::run(context.clone()));
     tokio::spawn(admit::run(context.clone()));
-    tokio::spawn(plan_watch::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
     Ok(RunningInstance { context, address })
 }
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,7 +1,6 @@
 //! The upstreams of every group, and the choice between them.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
@@ -48,10 +47,10 @@
     tier_of_model: HashMap<String, TierSettings>,
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
+    withheld: RwLock<HashSet<UpstreamId>>,
     instances: AtomicU32,
     budgets: HashMap<TierId, Mutex<RetryBudget>>,
     room: Arc<Notify>,
-    withheld: RwLock<HashSet<UpstreamId>>,
 }
 
 impl UpstreamTable {
@@ -97,23 +96,6 @@
         withheld.contains(upstream)
     }
 
-    /// Every upstream with its group and what this instance has in flight there.
-    pub fn all(&self) -> Vec<(String, UpstreamId, SocketAddr, u32)> {
-        let groups = self.groups.iter();
-        let rows = groups.flat_map(|(group, upstreams)| {
-            upstreams.iter().map(|state| {
-                let in_flight = state.in_flight();
-                (
-                    group.clone(),
-                    state.upstream.clone(),
-                    state.address,
-                    in_flight,
-                )
-            })
-        });
-        rows.collect()
-    }
-
     /// The first tier that serves this model.
     pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
         self.tier_of_model.get(model)
@@ -124,8 +106,8 @@
         self.groups.get(group).map_or(&[], Vec::as_slice)
     }
 
-    /// Every upstream with its group.
-    pub fn states(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
+    /// All upstreams, with their groups.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
         let groups = self.groups.iter();
         groups.flat_map(|(name, states)| states.iter().map(move |state| (name.as_str(), state)))
     }
