--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -62,6 +62,16 @@
         self.table().highest_offset()
     }
 
+    /// Whether no other instance was heard for long though some are listed.
+    pub fn is_alone(&self) -> bool {
+        self.table().is_alone(steady_ms())
+    }
+
+    /// Instances of the own data centre that are not gone, this one included.
+    pub fn live(&self) -> Vec<InstanceId> {
+        self.table().live(steady_ms())
+    }
+
     /// Whether an instance of any data centre is believed gone.
     pub fn is_lost(&self, instance: &InstanceId) -> bool {
         self.table().is_lost(instance, steady_ms())
