--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -7,6 +7,7 @@
 use amaranth_wire::batch_slots::{BATCH_SLOTS_PATH, ONLINE_NOTICE_PATH};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
+use amaranth_wire::message::KEEPER_PATH;
 use amaranth_wire::service_level::SERVICE_LEVELS_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
@@ -17,8 +18,9 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_gate, batch_intake, batch_view, files, gossip, log_reader, log_relay, models,
-    operator, operator_command, operator_peers, operator_query, service_levels, state_source,
+    accept, batch_gate, batch_intake, batch_view, files, gossip, kept_results, keyed_call,
+    log_reader, log_relay, models, operator, operator_command, operator_peers, operator_query,
+    service_levels, state_source,
 };
 
 /// The server of an instance.
@@ -53,7 +55,9 @@
     let all_models = get(handler(context, metered(models::list)));
     let model = get(handler(context, metered(models::show)));
     let service = any(handler(context, metered(accept::service)));
+    let kept = get(handler(context, metered(keyed_call::show)));
     router
+        .route("/v1/requests/{id}", only(context, "GET", kept))
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
         .route("/v1/services/{tier}/{*path}", service)
@@ -95,6 +99,9 @@
     let slots = post(handler(context, batch_gate::ask));
     let notice = post(handler(context, batch_gate::notice));
     let state = get(handler(context, state_source::hand_over));
+    let keeper = post(handler(context, kept_results::serve));
+    let keeper = only(context, "POST", keeper);
+    let router = router.route(format!("{KEEPER_PATH}/{{id}}"), keeper);
     let follow = get(handler(context, log_reader::serve));
     let entries = get(handler(context, log_relay::entries));
     let changes = get(handler(context, log_relay::changes));
