--- a/crates/standin/src/local_cli.rs
+++ b/crates/standin/src/local_cli.rs
@@ -1,5 +1,6 @@
 //! Command line of `amaranth-local`.
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,16 +130,21 @@
     std::fs::write(path, text + "\n")
 }
 
+/// Prints every address; a reader that leaves early is not a failure.
 fn print_addresses(fleet: &Arc<LocalFleet>) {
-    println!("platform {}", fleet.settings.platform.address);
+    let mut text = format!("listening {}\n", fleet.pick().address);
+    text += &format!("platform {}\n", fleet.settings.platform.address);
     for instance in fleet.instances() {
-        println!("instance {} {}", instance.name, instance.address);
+        text += &format!("instance {} {}\n", instance.name, instance.address);
     }
     for group in &fleet.settings.upstreams {
         for upstream in group.upstreams() {
             let address = upstream.address.map_or_else(String::new, |a| a.to_string());
-            println!("upstream {} {address}", upstream.upstream);
+            text += &format!("upstream {} {address}\n", upstream.upstream);
         }
     }
-    println!("serving until interrupted");
+    let mut stdout = std::io::stdout();
+    let _ = stdout
+        .write_all(text.as_bytes())
+        .and_then(|()| stdout.flush());
 }
--- a/crates/standin/src/local_online.rs
+++ b/crates/standin/src/local_online.rs
@@ -25,6 +25,10 @@
 const MAX_PAUSE_MS: u64 = 200;
 /// Tokens of an answer, at least and at most.
 const TOKENS: (u32, u32) = (8, 48);
+/// One service call in so many has a deadline that can't be met, so that refusals are checked.
+const HURRIED_EVERY: u32 = 12;
+/// That deadline, in milliseconds.
+const HURRIED_DEADLINE_MS: &str = "2";
 /// Longest wait for the head of an answer and between two tokens.
 const CALL_LIMITS: CallLimits = CallLimits::new(Duration::from_secs(30));
 
@@ -159,8 +163,9 @@
     let key = format!("call-{:016x}", rand::random::<u64>());
     let path = format!("/v1/services/{}/orders?item=17", tier.name);
     let body = json!({"key": key}).to_string();
+    let is_hurried = rand::rng().random_ratio(1, HURRIED_EVERY);
     let call = HttpCall::post(fleet.pick().address, path)
-        .with_headers(service_headers(&key))
+        .with_headers(service_headers(&key, is_hurried))
         .with_body(body.clone());
     let answer = fleet.client.fetch(call, CALL_LIMITS).await;
     let runs = runs_of(fleet, &key);
@@ -187,19 +192,21 @@
     if end.is_not_run() {
         let mut refused = refused.lock().expect("not poisoned");
         refused.push(RefusedCall { key });
-    } else {
+    } else if !is_hurried {
         book.check(Promise::OnlineWhole, false, || format!("{key}: {end:?}"));
     }
     end
 }
 
-fn service_headers(key: &str) -> HeaderMap {
+fn service_headers(key: &str, is_hurried: bool) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    for (name, value) in [
+    let deadline = is_hurried.then_some(("amaranth-deadline-ms", HURRIED_DEADLINE_MS));
+    let others = [
         ("content-type", "application/json"),
         ("idempotency-key", key),
         ("amaranth-repeatable", "false"),
-    ] {
+    ];
+    for (name, value) in others.into_iter().chain(deadline) {
         let value = HeaderValue::from_str(value).expect("keys are hexadecimal");
         headers.insert(HeaderName::from_static(name), value);
     }
