Send unrepeatable calls again in the checked run

Cause: every service call of the run was sent once, so the check of at-most-once could not see a resend run a second time.

Change: a quarter of the calls is sent again under the same key after its answer, a quarter at the same time by way of another instance; the services' counts are compared at the end of the run.

--- a/crates/standin/src/local_online.rs
+++ b/crates/standin/src/local_online.rs
@@ -32,11 +32,13 @@
 /// Longest wait for the head of an answer and between two tokens.
 const CALL_LIMITS: CallLimits = CallLimits::new(Duration::from_secs(30));
 
-/// A call of a service that was refused as not run.
+/// A call of a service that was made.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RefusedCall {
+pub struct SentCall {
     /// Its key.
     pub key: String,
+    /// Whether every answer to it said that nothing ran.
+    pub is_not_run: bool,
 }
 
 /// The callers and what they measured.
@@ -45,7 +47,7 @@
     book: Arc<PromiseBook>,
     stop: CancellationToken,
     tasks: JoinSet<(String, LoadStats)>,
-    refused: Arc<Mutex<Vec<RefusedCall>>>,
+    sent: Arc<Mutex<Vec<SentCall>>>,
 }
 
 impl OnlineCallers {
@@ -56,7 +58,7 @@
             book: book.clone(),
             stop: CancellationToken::new(),
             tasks: JoinSet::new(),
-            refused: Arc::default(),
+            sent: Arc::default(),
         };
         let tiers = fleet.settings.tiers.iter().filter(|tier| !tier.batch);
         for tier in tiers {
@@ -69,7 +71,7 @@
 
     fn start_caller(&mut self, tier: &TierSettings) {
         let (fleet, book) = (self.fleet.clone(), self.book.clone());
-        let (stop, refused) = (self.stop.clone(), self.refused.clone());
+        let (stop, sent) = (self.stop.clone(), self.sent.clone());
         let (name, tier) = (tier.name.to_string(), tier.clone());
         let group = fleet.settings.group(&tier.upstreams);
         let kind = group.map(|group| group.kind);
@@ -84,7 +86,7 @@
                         stats.add(&report);
                     }
                     _ => {
-                        let end = call_service(&fleet, &book, &tier, &refused).await;
+                        let end = call_service(&fleet, &book, &tier, &sent).await;
                         stats.add_plain(&end);
                     }
                 }
@@ -106,18 +108,23 @@
                 None => tiers.push((name, stats)),
             }
         }
-        self.check_refused();
+        self.check_runs();
         tiers.retain(|(_, stats)| stats.calls > 0);
         tiers.sort_by(|(a, _), (b, _)| a.cmp(b));
         tiers
     }
 
-    fn check_refused(&self) {
-        for call in self.refused.lock().expect("not poisoned").iter() {
+    /// Compares what callers were told with the services' own counts.
+    fn check_runs(&self) {
+        for call in self.sent.lock().expect("not poisoned").iter() {
             let runs = runs_of(&self.fleet, &call.key);
-            self.book.check(Promise::NotRunTrue, runs == 0, || {
-                format!("{} was refused as not run and ran {runs} times", call.key)
-            });
+            let finding = || format!("{} ran {runs} times", call.key);
+            if runs > 0 {
+                self.book.check(Promise::AtMostOnce, runs == 1, finding);
+            }
+            if call.is_not_run {
+                self.book.check(Promise::NotRunTrue, runs == 0, finding);
+            }
         }
     }
 }
@@ -154,48 +161,99 @@
     services.map(|(_, state)| state.calls_of(key).runs).sum()
 }
 
+/// One call that may not be repeated, and how its caller sends it again.
+struct ServiceCall {
+    key: String,
+    path: String,
+    body: String,
+    is_hurried: bool,
+    resend: ResendTime,
+}
+
+impl ServiceCall {
+    fn new(tier: &TierSettings) -> Self {
+        let key = format!("call-{:016x}", rand::random::<u64>());
+        let mut rng = rand::rng();
+        Self {
+            path: format!("/v1/services/{}/orders?item=17", tier.name),
+            body: json!({"key": key}).to_string(),
+            key,
+            is_hurried: rng.random_ratio(1, HURRIED_EVERY),
+            resend: match rng.random_range(0..4) {
+                0 => ResendTime::After,
+                1 => ResendTime::Beside,
+                _ => ResendTime::Never,
+            },
+        }
+    }
+
+    /// Sends the call to any instance.
+    async fn send(&self, fleet: &LocalFleet) -> CallEnd {
+        let call = HttpCall::post(fleet.pick().address, self.path.clone())
+            .with_headers(service_headers(&self.key, self.is_hurried))
+            .with_body(self.body.clone());
+        match fleet.client.fetch(call, CALL_LIMITS).await {
+            Ok((200, text)) if self.is_own(&text) => CallEnd::Complete,
+            Ok((200, _)) => CallEnd::Broken,
+            Ok((status, text)) => refusal(status, &text),
+            Err(e) => failure(&e),
+        }
+    }
+
+    fn is_own(&self, text: &[u8]) -> bool {
+        let answer = serde_json::from_slice::<ServiceAnswer>(text);
+        answer.is_ok_and(|answer| {
+            answer.key.as_ref() == Some(&self.key)
+                && answer.body_hash == body_hash(self.body.as_bytes())
+        })
+    }
+
+    /// Sends the call as often as its caller does. The first end is the one that counts unless
+    /// another is whole.
+    async fn run(&self, fleet: &LocalFleet) -> Vec<CallEnd> {
+        match self.resend {
+            ResendTime::Never => vec![self.send(fleet).await],
+            ResendTime::After => vec![self.send(fleet).await, self.send(fleet).await],
+            ResendTime::Beside => {
+                let (first, second) = tokio::join!(self.send(fleet), self.send(fleet));
+                vec![first, second]
+            }
+        }
+    }
+}
+
+/// When a caller sends a call again under its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResendTime {
+    Never,
+    After,
+    Beside,
+}
+
 async fn call_service(
     fleet: &LocalFleet,
     book: &PromiseBook,
     tier: &TierSettings,
-    refused: &Mutex<Vec<RefusedCall>>,
+    sent: &Mutex<Vec<SentCall>>,
 ) -> CallEnd {
-    let key = format!("call-{:016x}", rand::random::<u64>());
-    let path = format!("/v1/services/{}/orders?item=17", tier.name);
-    let body = json!({"key": key}).to_string();
-    let is_hurried = rand::rng().random_ratio(1, HURRIED_EVERY);
-    let call = HttpCall::post(fleet.pick().address, path)
-        .with_headers(service_headers(&key, is_hurried))
-        .with_body(body.clone());
-    let answer = fleet.client.fetch(call, CALL_LIMITS).await;
-    let runs = runs_of(fleet, &key);
-    if runs > 0 {
-        book.check(Promise::AtMostOnce, runs == 1, || {
-            format!("{key} ran {runs} times")
+    let call = ServiceCall::new(tier);
+    let ends = call.run(fleet).await;
+    let is_not_run = ends.iter().all(CallEnd::is_not_run);
+    let is_whole = ends.contains(&CallEnd::Complete);
+    if !is_not_run && !call.is_hurried {
+        book.check(Promise::OnlineWhole, is_whole, || {
+            format!("{}: {ends:?}", call.key)
         });
     }
-    let end = match answer {
-        Ok((200, text)) => {
-            let answer = serde_json::from_slice::<ServiceAnswer>(&text);
-            let is_own = answer.is_ok_and(|answer| {
-                answer.key.as_deref() == Some(&key)
-                    && answer.body_hash == body_hash(body.as_bytes())
-            });
-            book.check(Promise::OnlineWhole, is_own, || {
-                format!("{key} got {}", String::from_utf8_lossy(&text))
-            });
-            return CallEnd::Complete;
-        }
-        Ok((status, text)) => refusal(status, &text),
-        Err(e) => failure(&e),
-    };
-    if end.is_not_run() {
-        let mut refused = refused.lock().expect("not poisoned");
-        refused.push(RefusedCall { key });
-    } else if !is_hurried {
-        book.check(Promise::OnlineWhole, false, || format!("{key}: {end:?}"));
+    let mut sent = sent.lock().expect("not poisoned");
+    sent.push(SentCall {
+        key: call.key,
+        is_not_run,
+    });
+    match is_whole {
+        true => CallEnd::Complete,
+        false => ends[0].clone(),
     }
-    end
 }
 
 fn service_headers(key: &str, is_hurried: bool) -> HeaderMap {
