--- a/crates/entry/src/operator_query.rs
+++ b/crates/entry/src/operator_query.rs
@@ -89,12 +89,10 @@
         let message = format!("no table is named {:?}", query.table);
         CallError::new(ErrorKind::InvalidRequest, message)
     })?;
-    if table.scope == TableScope::Folded {
+    if table.scope != TableScope::Instance {
         return show_folded(context, query, table);
     }
-    let question = PeerQuestion {
-        table: Some(table.name.to_owned()),
-    };
+    let question = PeerQuestion::new(table.name);
     let answers = ask_all(context, &question).await;
     Ok(merge(context, query, table, answers))
 }
@@ -105,13 +103,15 @@
     query: &ShowQuery,
     table: &QueryTable,
 ) -> Result<ShowAnswer> {
-    if !context.state.changes().is_complete() {
+    let known = match table.scope {
+        TableScope::Jobs => context.check_started().is_ok(),
+        _ => context.state.changes().is_complete(),
+    };
+    if !known {
         let message = "this instance has not read enough of the log; ask another";
         return Err(CallError::new(ErrorKind::NotReady, message));
     }
-    let question = PeerQuestion {
-        table: Some(table.name.to_owned()),
-    };
+    let question = PeerQuestion::new(table.name);
     let own = own_rows(context, &question);
     let answers = PeerAnswers {
         answered: vec![own],
@@ -130,7 +130,10 @@
     let answered: Vec<_> = answered
         .map(|rows| AnsweredInstance {
             instance: rows.instance.clone(),
-            folded: rows.folded,
+            folded: match table.scope {
+                TableScope::Changes => rows.covered,
+                _ => rows.folded,
+            },
         })
         .collect();
     let offset = answered.iter().map(|row| row.folded).min();
@@ -139,7 +142,7 @@
         result: evaluate(query, table.fields, rows),
         offset: offset.unwrap_or_default(),
         log_age_ms: context.relay.log_age_ms(),
-        folded: table.scope == TableScope::Folded,
+        folded: table.scope != TableScope::Instance,
         answered,
         silent: answers.silent,
     }
@@ -156,13 +159,10 @@
         found["batch"] = batch;
     }
     explain_command(context, id, &mut found);
-    let question = PeerQuestion {
-        table: Some("requests".to_owned()),
-    };
+    let question = PeerQuestion::new("requests").with_request(id);
     let answers = ask_all(context, &question).await;
     let rows = answers.answered.into_iter().flat_map(|a| a.rows);
-    let is_wanted = |row: &QueryRow| row.get("request").is_some_and(|name| name == id);
-    let requests: Vec<_> = rows.filter(is_wanted).collect();
+    let requests: Vec<_> = rows.collect();
     let nothing = ["batch", "plan", "command"]
         .iter()
         .all(|key| found.get(*key).is_none());
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -4,8 +4,10 @@
 
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_net::{answer, telemetry};
+use amaranth_wire::batch_slots::{BATCH_SLOTS_PATH, ONLINE_NOTICE_PATH};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
+use amaranth_wire::service_level::SERVICE_LEVELS_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
 use volo_http::response::Response;
@@ -15,8 +17,8 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_intake, batch_view, files, gossip, log_reader, log_relay, models, operator,
-    operator_command, operator_peers, operator_query,
+    accept, batch_gate, batch_intake, batch_view, files, gossip, log_reader, log_relay, models,
+    operator, operator_command, operator_peers, operator_query, service_levels, state_source,
 };
 
 /// The server of an instance.
@@ -52,9 +54,9 @@
     let model = get(handler(context, metered(models::show)));
     let service = any(handler(context, metered(accept::service)));
     router
-        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
+        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/models", only(context, "GET", all_models))
         .route("/v1/models/{id}", only(context, "GET", model))
         .route("/v1/files", only(context, "POST", store))
@@ -74,7 +76,9 @@
     let query = post(handler(context, metered(operator_query::query)));
     let command = post(handler(context, metered(operator_command::command)));
     let ask_again = get(handler(context, metered(operator_command::ask_again)));
+    let levels = get(handler(context, metered(service_levels::show)));
     router
+        .route(SERVICE_LEVELS_PATH, only(context, "GET", levels))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
         .route("/v1/operator/query", only(context, "POST", query))
@@ -88,11 +92,17 @@
 /// Paths of peers.
 fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let exchange = post(handler(context, gossip::handle));
+    let slots = post(handler(context, batch_gate::ask));
+    let notice = post(handler(context, batch_gate::notice));
+    let state = get(handler(context, state_source::hand_over));
     let follow = get(handler(context, log_reader::serve));
     let entries = get(handler(context, log_relay::entries));
     let changes = get(handler(context, log_relay::changes));
     let rows = post(handler(context, operator_peers::answer_question));
     router
+        .route(state_source::STATE_PATH, only(context, "GET", state))
+        .route(BATCH_SLOTS_PATH, only(context, "POST", slots))
+        .route(ONLINE_NOTICE_PATH, only(context, "POST", notice))
         .route(GOSSIP_PATH, only(context, "POST", exchange))
         .route(log_reader::PEER_FOLLOW_PATH, only(context, "GET", follow))
         .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
--- a/tests/changes_config.rs
+++ b/tests/changes_config.rs
@@ -9,7 +9,7 @@
 
 use gate::TestGate;
 use serde_json::{Value, json};
-use support::{TestFleet, batch_lines, wait_until};
+use support::{TestFleet, batch_lines, chat, wait_until};
 
 const NAMES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
 
@@ -299,6 +299,38 @@
     );
 }
 
+#[tokio::test]
+async fn requests_are_shown_while_they_run_and_explained_after() {
+    let fleet = TestFleet::start_with(1, 2, &["--step", "20ms"], &[]).await;
+    let key = [("idempotency-key", "note-1")];
+    let stream = fleet.open(
+        "entry-1",
+        "/v1/chat/completions",
+        &key,
+        chat("roof", 100, true),
+    );
+    let stream = stream.await.expect("an answer");
+    let run = fleet.ctl("entry-2", &["-e", "show requests where request = note-1"]);
+    let rows = run.rows();
+    assert_eq!(rows.len(), 1, "{run:?}");
+    assert_eq!(
+        (&rows[0]["state"], &rows[0]["instance"]),
+        (&json!("running"), &json!("entry-1"))
+    );
+    stream.read_all().await.expect("a whole stream");
+    wait_until("the request is no longer shown", async || {
+        let run = fleet.ctl("entry-2", &["-e", "show requests"]);
+        run.rows().is_empty()
+    })
+    .await;
+    let run = fleet.ctl("entry-2", &["-e", "explain note-1"]);
+    let events = run.answer()["requests"][0]["events"].to_string();
+    assert!(events.contains("sent to sketch-llm-1"), "{events}");
+    assert!(events.contains("Answered(200)"), "{events}");
+    let run = fleet.ctl("entry-2", &["-e", "explain nothing-like-it"]);
+    assert_eq!(run.answer()["known"], false);
+}
+
 #[tokio::test]
 async fn operators_need_a_key_and_a_role() {
     const ROLES: [(&str, &str); 3] = [("vera", "viewer"), ("oto", "operator"), ("ada", "admin")];
