--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -20,6 +20,7 @@
 use crate::config::EntryConfig;
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
+use crate::kept_results::ResultShelf;
 use crate::log_client::LogClient;
 use crate::log_reader::LogReader;
 use crate::log_relay::LogRelay;
@@ -55,6 +56,8 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// Results that this instance keeps.
+    pub results: ResultShelf,
     /// The callers' keys.
     pub callers: CallerKeys,
     /// Online requests by tier, minute and cause.
@@ -103,6 +106,7 @@
             levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            results: ResultShelf::new(),
             sights: PeerSights::default(),
             reader: LogReader::default(),
             requests: RequestBoard::default(),
--- a/crates/entry/src/request_board.rs
+++ b/crates/entry/src/request_board.rs
@@ -76,8 +76,9 @@
     /// Notes a request that was accepted. Without a key of the caller's it gets an id.
     pub fn open(&self, request: &OnlineRequest) -> RequestTicket {
         let random = || format!("req-{:016x}", rand::random::<u64>());
+        let key = request.key.as_ref().map(|key| key.to_string());
         let entry = BoardEntry {
-            id: request.key.clone().unwrap_or_else(random),
+            id: key.unwrap_or_else(random),
             tier: request.tier.name.clone(),
             team: request.team.clone(),
             phase: RequestPhase::Waiting,
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -12,6 +12,7 @@
 use amaranth_kernel::lease::LeaseTable;
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT, shard_of};
 use amaranth_kernel::log_clock::LogClock;
+use amaranth_kernel::request_intents::IntentTable;
 use amaranth_kernel::retention::{CheckpointName, CheckpointParts, OffsetTimes, RetentionView};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{ConfigRevision, JobId, LogOffset, ShardId, WriterId};
@@ -50,6 +51,7 @@
     jobs: Vec<Mutex<JobLedger>>,
     files: Vec<Mutex<FileTable>>,
     leases: RwLock<LeaseTable>,
+    intents: Mutex<IntentTable>,
     changes: RwLock<ChangeState>,
     folded: watch::Sender<LogOffset>,
     own: watch::Sender<OwnMark>,
@@ -62,12 +64,13 @@
 /// The folded state as it is written to the log and handed to peers. Every fold belongs here: an
 /// instance that starts from an image never reads what lies before it.
 #[derive(Serialize, Deserialize)]
-struct StateImage<C, T, J, S, L, F> {
+struct StateImage<C, T, J, S, L, I, F> {
     cursor: C,
     times: T,
     jobs: J,
     files: S,
     leases: L,
+    intents: I,
     changes: F,
 }
 
@@ -90,6 +93,7 @@
     Vec<JobLedger>,
     Vec<FileTable>,
     LeaseTable,
+    IntentTable,
     Option<ChangeSnapshot>,
 >;
 
@@ -109,6 +113,7 @@
                 .collect(),
             files: shards.map(|_| Mutex::new(FileTable::default())).collect(),
             leases: RwLock::new(LeaseTable::default()),
+            intents: Mutex::new(IntentTable::new()),
             changes: RwLock::new(ChangeState::default()),
             folded: watch::Sender::new(LogOffset(0)),
             own: watch::Sender::new(OwnMark::default()),
@@ -181,6 +186,7 @@
             jobs: cloned(&self.jobs),
             files: cloned(&self.files),
             leases: &*self.leases(),
+            intents: &*self.intents(),
             changes: self.changes().snapshot(),
         };
         let bytes = rmp_serde::to_vec_named(&image).expect("images always encode");
@@ -202,6 +208,7 @@
         replace(&self.jobs, image.jobs);
         replace(&self.files, image.files);
         *self.leases.write().expect("not poisoned") = image.leases;
+        *self.intents() = image.intents;
         let mut changes = self.changes.write().expect("not poisoned");
         changes.lose_before(cursor.next());
         if let Some(snapshot) = image.changes {
@@ -286,6 +293,11 @@
         self.folded.send_replace(cursor.next());
     }
 
+    /// Calls that may run at most once.
+    pub fn intents(&self) -> MutexGuard<'_, IntentTable> {
+        self.intents.lock().expect("not poisoned")
+    }
+
     /// The leases.
     pub fn leases(&self) -> RwLockReadGuard<'_, LeaseTable> {
         self.leases.read().expect("not poisoned")
@@ -351,6 +363,10 @@
                 let mut leases = self.leases.write().expect("not poisoned");
                 leases.apply(offset, time_ms, record);
             }
+            LogRecord::CallIntended { .. } | LogRecord::CallEnded { .. } => {
+                let mut intents = self.intents.lock().expect("not poisoned");
+                intents.apply(offset, time_ms, record);
+            }
             // Folded by `fold_changes`, an entry at a time.
             LogRecord::ConfigProposed { .. }
             | LogRecord::PlanProposed { .. }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
+pub mod request_intents;
+pub mod result_store;
 pub mod retention;
 pub mod retry;
 pub mod rollout;
