--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,6 +12,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::AdmissionDesk;
+use crate::batch_gate::BatchGates;
+use crate::batch_slots::BatchSlots;
 use crate::call_meter::CallMeter;
 use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
@@ -24,6 +26,8 @@
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
+use crate::request_board::RequestBoard;
+use crate::service_levels::ServiceLevels;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -56,16 +60,24 @@
     pub results: ResultShelf,
     /// The callers' keys.
     pub callers: CallerKeys,
+    /// Online requests by tier, minute and cause.
+    pub levels: ServiceLevels,
     /// Calls in progress.
     pub calls: CallMeter,
     /// Online requests that wait for room.
     pub admission: AdmissionDesk,
+    /// Decides on the batch places of some upstreams.
+    pub gates: BatchGates,
+    /// The batch places of this instance.
+    pub slots: Arc<BatchSlots>,
     /// The other instances.
     pub members: MemberTable,
     /// When the other instances were last heard.
     pub sights: PeerSights,
     /// Reads of the log by way of relays.
     pub reader: LogReader,
+    /// Online requests, in progress and recent.
+    pub requests: RequestBoard,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -91,13 +103,17 @@
         Self {
             items: ItemReader::new(log.clone()),
             callers: CallerKeys::new(&config.fleet.teams),
+            levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
             results: ResultShelf::new(),
             sights: PeerSights::default(),
             reader: LogReader::default(),
+            requests: RequestBoard::default(),
             relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
+            gates: BatchGates::new(&config.fleet),
+            slots: Arc::new(BatchSlots::new(&config.fleet)),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
@@ -117,6 +133,11 @@
         self.caught_up.store(true, Ordering::Release);
     }
 
+    /// Whether the log was folded to its head once, or state was taken from a peer that did.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire)
+    }
+
     /// Notes that a planned stop has begun.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -9,7 +9,7 @@
 use amaranth_kernel::retry::{AttemptFailure, NextStep, RequestProgress, first_step, next_step};
 use amaranth_net::answer;
 use amaranth_net::client::HttpAnswer;
-use amaranth_net::clock::steady_ms;
+use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_settings::upstream::UpstreamKind;
 use amaranth_wire::error::{CallError, ErrorKind, RanState};
 use amaranth_wire::id::UpstreamId;
@@ -27,7 +27,8 @@
 use crate::context::{InstanceContext, Result};
 use crate::keyed_call::{self, KeyedStep, ResultPlan};
 use crate::relay::{self, RelayEnd, RelayedAnswer};
-use crate::settle::{RequestEnd, RequestTimes, settle};
+use crate::request_board::RequestTicket;
+use crate::settle::{RequestEnd, RequestTimes, level_sample, settle};
 use crate::upstream_table::InFlightGuard;
 
 /// First status that an upstream answers for its own faults.
@@ -88,6 +89,7 @@
     plan: ResultPlan,
     current: Option<NamedStream>,
     excluded: Vec<UpstreamId>,
+    ticket: RequestTicket,
 }
 
 /// Where the request is, and under which name.
@@ -114,6 +116,7 @@
             plan,
             current: None,
             excluded: Vec::new(),
+            ticket: context.requests.open(&request),
             context,
             request,
             port,
@@ -141,6 +144,7 @@
                 AttemptEnd::Done(end) => return end,
                 AttemptEnd::Failed(failure) => failure,
             };
+            self.ticket.note(format!("attempt failed: {failure:?}"));
             self.progress.caller_present = !self.port.is_gone();
             let mut rng = rand::rng();
             step = self
@@ -154,6 +158,7 @@
 
     /// Tells the caller of a failure and ends the upstream's work unless it is done.
     async fn finish(&mut self, end: RequestEnd) {
+        self.ticket.note(format!("ended: {end:?}"));
         let plan = std::mem::replace(&mut self.plan, ResultPlan::Unkept);
         match end {
             RequestEnd::Answered(_) => {}
@@ -168,7 +173,11 @@
                 keyed_call::fail(&self.context, &self.request, plan, ran);
             }
         }
-        settle(&self.request, end, &self.relayed.times, steady_ms());
+        let (times, now_ms) = (&self.relayed.times, steady_ms());
+        settle(&self.request, end, times, now_ms);
+        let sample = level_sample(&self.request, end, times, now_ms);
+        let tier = &self.request.tier.name;
+        self.context.levels.note(tier, &sample, unix_ms());
     }
 
     /// Has the answer kept, then gives it to the caller.
@@ -228,6 +237,8 @@
                 None => Err(AttemptEnd::Done(RequestEnd::CallerGone)),
                 Some(Ok(guard)) => Ok(guard),
                 Some(Err(refusal)) => {
+                    let group = self.context.upstreams.group(&self.request.tier.upstreams);
+                    self.relayed.times.beside_batch = group.iter().any(|state| state.runs_batch());
                     let end = RequestEnd::Failed(refusal.kind, refusal.ran);
                     self.port.fail(refusal);
                     Err(AttemptEnd::Done(end))
@@ -269,8 +280,10 @@
     }
 
     fn begin_attempt(&mut self, guard: InFlightGuard) {
+        self.ticket.sent(&guard.upstream().upstream);
         let number = STREAM_COUNTER.fetch_add(1, Ordering::Relaxed);
         let writer = self.context.config.writer.0;
+        self.relayed.times.beside_batch |= guard.upstream().runs_batch();
         self.excluded.push(guard.upstream().upstream.clone());
         self.current = Some(NamedStream {
             guard,
@@ -375,7 +388,7 @@
     /// Notes that the current upstream failed.
     fn note_failure(&self) {
         if let Some(current) = &self.current {
-            current.guard.upstream().note_failure();
+            current.guard.note_failure();
         }
     }
 
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -4,9 +4,11 @@
 
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_net::{answer, telemetry};
+use amaranth_wire::batch_slots::{BATCH_SLOTS_PATH, ONLINE_NOTICE_PATH};
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::gossip::GOSSIP_PATH;
 use amaranth_wire::message::KEEPER_PATH;
+use amaranth_wire::service_level::SERVICE_LEVELS_PATH;
 use http::HeaderValue;
 use http::header::ALLOW;
 use volo_http::response::Response;
@@ -16,8 +18,9 @@
 use crate::call_meter::metered;
 use crate::context::{InstanceContext, Result};
 use crate::{
-    accept, batch_intake, batch_view, files, gossip, kept_results, keyed_call, log_reader,
-    log_relay, models, operator, operator_command, operator_peers, operator_query,
+    accept, batch_gate, batch_intake, batch_view, files, gossip, kept_results, keyed_call,
+    log_reader, log_relay, models, operator, operator_command, operator_peers, operator_query,
+    service_levels, state_source,
 };
 
 /// The server of an instance.
@@ -55,9 +58,9 @@
     let kept = get(handler(context, metered(keyed_call::show)));
     router
         .route("/v1/requests/{id}", only(context, "GET", kept))
-        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/chat/completions", only(context, "POST", completion()))
         .route("/v1/completions", only(context, "POST", completion()))
+        .route("/v1/services/{tier}/{*path}", service)
         .route("/v1/models", only(context, "GET", all_models))
         .route("/v1/models/{id}", only(context, "GET", model))
         .route("/v1/files", only(context, "POST", store))
@@ -77,7 +80,9 @@
     let query = post(handler(context, metered(operator_query::query)));
     let command = post(handler(context, metered(operator_command::command)));
     let ask_again = get(handler(context, metered(operator_command::ask_again)));
+    let levels = get(handler(context, metered(service_levels::show)));
     router
+        .route(SERVICE_LEVELS_PATH, only(context, "GET", levels))
         .route("/v1/operator/instance", only(context, "GET", instance))
         .route("/v1/operator/config", only(context, "GET, POST", config))
         .route("/v1/operator/query", only(context, "POST", query))
@@ -91,6 +96,9 @@
 /// Paths of peers.
 fn peer_routes(context: &Arc<InstanceContext>, router: Router) -> Router {
     let exchange = post(handler(context, gossip::handle));
+    let slots = post(handler(context, batch_gate::ask));
+    let notice = post(handler(context, batch_gate::notice));
+    let state = get(handler(context, state_source::hand_over));
     let keeper = post(handler(context, kept_results::serve));
     let keeper = only(context, "POST", keeper);
     let router = router.route(format!("{KEEPER_PATH}/{{id}}"), keeper);
@@ -99,6 +107,9 @@
     let changes = get(handler(context, log_relay::changes));
     let rows = post(handler(context, operator_peers::answer_question));
     router
+        .route(state_source::STATE_PATH, only(context, "GET", state))
+        .route(BATCH_SLOTS_PATH, only(context, "POST", slots))
+        .route(ONLINE_NOTICE_PATH, only(context, "POST", notice))
         .route(GOSSIP_PATH, only(context, "POST", exchange))
         .route(log_reader::PEER_FOLLOW_PATH, only(context, "GET", follow))
         .route(log_relay::PEER_LOG_PATH, only(context, "GET", entries))
--- a/crates/kernel/src/language/table.rs
+++ b/crates/kernel/src/language/table.rs
@@ -3,8 +3,11 @@
 /// Who knows the rows of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TableScope {
-    /// Folded from the log: every instance has the same rows at the same offset.
-    Folded,
+    /// Configuration, plans and decisions, folded from the log: every instance has the same rows
+    /// at the same offset.
+    Changes,
+    /// Jobs, folded from the log like these, but not passed on by peers.
+    Jobs,
     /// Each instance knows its own rows, so that all are asked.
     Instance,
 }
@@ -34,24 +37,25 @@
     inventory::iter::<QueryTable>().find(|table| table.name == name)
 }
 
-use TableScope::{Folded, Instance};
+use TableScope::{Changes, Instance, Jobs};
 
 inventory::submit! { QueryTable {
     name: "requests", scope: Instance,
     fields: &["instance", "request", "tier", "team", "state", "upstream", "age_ms"],
 } }
 inventory::submit! { QueryTable {
-    name: "batches", scope: Folded,
+    name: "batches", scope: Jobs,
     fields: &["batch", "team", "tier", "state", "total", "completed", "failed", "submitted_ms",
         "deadline_ms"],
 } }
 inventory::submit! { QueryTable {
-    name: "items", scope: Folded,
+    name: "items", scope: Jobs,
     fields: &["batch", "item", "tier", "state"],
 } }
 inventory::submit! { QueryTable {
     name: "upstreams", scope: Instance,
-    fields: &["instance", "upstream", "group", "address", "in_flight", "state"],
+    fields: &["instance", "upstream", "group", "address", "in_flight", "state", "requests",
+        "errors", "total_ms"],
 } }
 inventory::submit! { QueryTable {
     name: "instances", scope: Instance,
@@ -62,26 +66,26 @@
     fields: &["instance", "tier", "group", "batch", "repeatable", "queue_limit", "deadline_ms"],
 } }
 inventory::submit! { QueryTable {
-    name: "teams", scope: Folded,
+    name: "teams", scope: Jobs,
     fields: &["team", "batches", "running"],
 } }
 inventory::submit! { QueryTable {
-    name: "config", scope: Folded,
+    name: "config", scope: Changes,
     fields: &["name", "value", "revision", "author", "offset"],
 } }
 inventory::submit! { QueryTable {
-    name: "plans", scope: Folded,
+    name: "plans", scope: Changes,
     fields: &["plan", "text", "author", "state", "finished", "total", "reason", "offset"],
 } }
 inventory::submit! { QueryTable {
-    name: "steps", scope: Folded,
+    name: "steps", scope: Changes,
     fields: &["plan", "upstream", "state"],
 } }
 inventory::submit! { QueryTable {
-    name: "refusals", scope: Folded,
+    name: "refusals", scope: Changes,
     fields: &["command", "text", "author", "reason", "time_ms", "offset"],
 } }
 inventory::submit! { QueryTable {
-    name: "audit", scope: Folded,
+    name: "audit", scope: Changes,
     fields: &["command", "text", "author", "revision", "time_ms", "offset"],
 } }
--- a/crates/kernel/src/request_intents.rs
+++ b/crates/kernel/src/request_intents.rs
@@ -8,6 +8,7 @@
 
 use amaranth_wire::id::{LogOffset, RequestId};
 use amaranth_wire::record::{CallEnding, LogRecord};
+use serde::{Deserialize, Serialize};
 
 /// How long a key is remembered after its intent, in milliseconds of the log's clock.
 pub const INTENT_KEPT_MS: u64 = 24 * 3_600_000;
@@ -15,7 +16,7 @@
 pub const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// What is known of one call.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallIntent {
     /// SHA-256 of the call, hexadecimal.
     pub digest: String,
@@ -49,7 +50,7 @@
 }
 
 /// All remembered calls.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct IntentTable {
     calls: HashMap<RequestId, CallIntent>,
     order: VecDeque<(u64, RequestId)>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by every amaranthford process: identifiers, units, error kinds, log records and
 //! the messages between processes. No I/O.
 
+pub mod batch_slots;
 pub mod change;
 pub mod engine;
 pub mod error;
@@ -10,4 +11,5 @@
 pub mod platform;
 pub mod record;
 pub mod role;
+pub mod service_level;
 pub mod unit;
