--- a/crates/burn/src/cli.rs
+++ b/crates/burn/src/cli.rs
@@ -16,6 +16,8 @@
 use crate::report::BurnReport;
 
 const PROGRAM: &str = "amaranth-burn";
+/// Environment variable with the operator's key.
+const KEY_VARIABLE: &str = "AMARANTH_KEY";
 const HELP: &str = "\
 Report on service-level burn: how fast each tier uses up its budget, and why.
 
@@ -26,6 +28,7 @@
 Options:
       --settings <FILE>       Ask every instance that the platform of these settings lists
       --instance <IP:PORT>    Ask this instance; may be given more than once
+      --key-file <FILE>       File with the operator's key, in place of AMARANTH_KEY
       --save <FILE>           Save the reports for later
       --format <FORMAT>       text or json [default: text]
       --svg <FILE>            Write a plot of the last 6 hours
@@ -71,6 +74,7 @@
     settings: Option<PathBuf>,
     instances: Vec<SocketAddr>,
     files: Vec<PathBuf>,
+    key_file: Option<PathBuf>,
     save: Option<PathBuf>,
     svg: Option<PathBuf>,
     format: ReportFormat,
@@ -87,6 +91,7 @@
         settings: None,
         instances: Vec::new(),
         files: Vec::new(),
+        key_file: None,
         save: None,
         svg: None,
         format: ReportFormat::Text,
@@ -96,6 +101,7 @@
         match arg {
             Long("settings") => options.settings = Some(PathBuf::from(parser.value()?)),
             Long("instance") => options.instances.push(parser.value()?.parse()?),
+            Long("key-file") => options.key_file = Some(PathBuf::from(parser.value()?)),
             Long("save") => options.save = Some(PathBuf::from(parser.value()?)),
             Long("svg") => options.svg = Some(PathBuf::from(parser.value()?)),
             Long("format") => options.format = parser.value()?.parse()?,
@@ -137,6 +143,7 @@
     options: &BurnOptions,
     platform: Option<SocketAddr>,
 ) -> std::result::Result<CollectedReports, Box<dyn std::error::Error>> {
+    let key = read_key(options)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -150,7 +157,7 @@
             .iter()
             .map(|at| ("instance".to_owned(), at.to_string()));
         instances.extend(named);
-        Ok::<_, collect::CollectError>(collect::ask(instances).await)
+        Ok::<_, collect::CollectError>(collect::ask(instances, key.as_deref()).await)
     })?;
     for file in &options.files {
         collected.reports.extend(collect::load(file)?);
@@ -158,6 +165,18 @@
     Ok(collected)
 }
 
+fn read_key(options: &BurnOptions) -> collect::Result<Option<String>> {
+    let key = match &options.key_file {
+        None => std::env::var(KEY_VARIABLE).ok(),
+        Some(path) => {
+            let file = path.display().to_string();
+            let key = std::fs::read_to_string(path);
+            Some(key.map_err(|e| collect::CollectError::File(file, e))?)
+        }
+    };
+    Ok(key.map(|key| key.trim().to_owned()))
+}
+
 fn print_report(options: &BurnOptions, collected: &CollectedReports) -> ExitCode {
     if collected.reports.is_empty() {
         for missing in &collected.missing {
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -28,7 +28,8 @@
     pub tokens: u32,
     /// Attempts, resumed streams not counted.
     pub attempts: u32,
-    /// Whether batch work ran at the upstream when the request came there.
+    /// Whether batch work ran at the tier's upstreams when the request came, or at its upstream
+    /// when it was sent there.
     pub beside_batch: bool,
     /// Resumed streams.
     pub resumes: u32,
@@ -60,7 +61,7 @@
     LevelSample {
         end: match end {
             RequestEnd::Answered(status) => LevelEnd::Answered(status),
-            RequestEnd::Failed(kind, _) => LevelEnd::Failed(kind),
+            RequestEnd::Failed(kind, ran) => LevelEnd::Failed(kind, ran),
             RequestEnd::CallerGone => LevelEnd::CallerGone,
         },
         total_ms: now_ms.saturating_sub(request.arrived_ms),
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -38,6 +38,7 @@
     limit: ConcurrencyLimit,
     health: UpstreamHealth,
     listed_leaving: bool,
+    dither: f64,
 }
 
 /// What a choice between upstreams needs to know of one.
@@ -51,6 +52,8 @@
     pub leaving: bool,
     /// Whether this instance's share of its limit has room.
     pub has_room: bool,
+    /// Whether it has room for a request that gains from the upstream's cache.
+    pub has_affinity_room: bool,
 }
 
 impl UpstreamState {
@@ -66,6 +69,7 @@
                 limit: ConcurrencyLimit::new(slots),
                 health: UpstreamHealth::new(),
                 listed_leaving: false,
+                dither: rand::random(),
             }),
             batch_items: AtomicU32::new(0),
             room,
@@ -81,7 +85,8 @@
         let book = self.book();
         let load = book.load.view(now_ms, instances);
         UpstreamSnapshot {
-            has_room: book.limit.has_room(&load, instances),
+            has_room: book.limit.has_room(&load, instances, book.dither),
+            has_affinity_room: book.limit.has_affinity_room(&load, instances, book.dither),
             load,
             health: book.health,
             leaving: book.listed_leaving || book.load.is_leaving(),
@@ -103,6 +108,7 @@
         let mut book = self.book();
         if book.load.take_report(report, unix_ms()) {
             book.limit.adapt(report.slots, report.step_us, gap_us);
+            book.dither = rand::random();
         }
         drop(book);
         self.room.notify_one();
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -1,8 +1,8 @@
 //! The upstreams of every group, and the choice between them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 
 use amaranth_kernel::ejection;
 use amaranth_kernel::plugin::routing_policy;
@@ -47,6 +47,7 @@
     tier_of_model: HashMap<String, TierSettings>,
     policy: &'static RoutingPolicy,
     counter: AtomicU64,
+    withheld: RwLock<HashSet<UpstreamId>>,
     instances: AtomicU32,
     budgets: HashMap<TierId, Mutex<RetryBudget>>,
     room: Arc<Notify>,
@@ -64,6 +65,7 @@
             tier_of_model: models(fleet),
             policy: policy.expect("the default policy is registered"),
             counter: AtomicU64::new(0),
+            withheld: RwLock::new(HashSet::new()),
             instances: AtomicU32::new(fleet.instances.len().max(1) as u32),
             budgets: budgets(fleet),
             room,
@@ -83,6 +85,17 @@
         }
     }
 
+    /// Replaces the set of upstreams that plans keep new work from.
+    pub fn set_withheld(&self, withheld: HashSet<UpstreamId>) {
+        *self.withheld.write().expect("not poisoned") = withheld;
+    }
+
+    /// Whether a plan keeps new work from an upstream.
+    pub fn is_withheld(&self, upstream: &UpstreamId) -> bool {
+        let withheld = self.withheld.read().expect("not poisoned");
+        withheld.contains(upstream)
+    }
+
     /// The first tier that serves this model.
     pub fn tier_of_model(&self, model: &str) -> Option<&TierSettings> {
         self.tier_of_model.get(model)
@@ -125,15 +138,11 @@
     /// Picks an upstream of a group by some rules, and counts a request there.
     pub fn pick_by(&self, group: &str, rules: PickRules<'_>) -> PickResult {
         let states = self.group(group);
-        let (mut views, rooms) = self.views(states, rules.excluded);
-        if !views.iter().any(|view| view.available) {
+        let views = self.views(states, rules);
+        if !views.iter().any(|(_, open)| *open) {
             return PickResult::Unavailable;
         }
-        if rules.with_room {
-            for (view, has_room) in views.iter_mut().zip(rooms) {
-                view.available &= has_room;
-            }
-        }
+        let views: Vec<_> = views.into_iter().map(|(view, _)| view).collect();
         let hint = RouteHint {
             counter: self.counter.fetch_add(1, Ordering::Relaxed),
             prefix: rules.prefix,
@@ -144,12 +153,14 @@
         }
     }
 
+    /// What is known of some upstreams, and whether they take work at all, room or not.
     fn views(
         &self,
         states: &[Arc<UpstreamState>],
-        excluded: &[UpstreamId],
-    ) -> (Vec<UpstreamView>, Vec<bool>) {
+        rules: PickRules<'_>,
+    ) -> Vec<(UpstreamView, bool)> {
         let now_ms = unix_ms();
+        let withheld = self.withheld.read().expect("not poisoned");
         let instances = self.instances.load(Ordering::Relaxed);
         let snapshots: Vec<_> = states
             .iter()
@@ -160,19 +171,23 @@
         let settings: Vec<_> = states.iter().map(|state| state.speed).collect();
         let steps: Vec<_> = snapshots.iter().map(|s| s.load.step_us).collect();
         let speeds = measured_speeds(&settings, &steps);
-        let view = |index: usize| UpstreamView {
-            upstream: states[index].upstream.clone(),
-            available: healthy[index]
-                && !snapshots[index].leaving
-                && !excluded.contains(&states[index].upstream),
-            in_flight: snapshots[index].load.own,
-            load: snapshots[index].load.total,
-            slots: snapshots[index].load.slots,
-            speed: speeds[index],
+        let view = |index: usize| {
+            let (state, snapshot) = (&states[index], &snapshots[index]);
+            let excluded = rules.excluded.contains(&state.upstream);
+            let withheld = withheld.contains(&state.upstream);
+            let open = healthy[index] && !snapshot.leaving && !excluded && !withheld;
+            let view = UpstreamView {
+                upstream: state.upstream.clone(),
+                available: open && (snapshot.has_room || !rules.with_room),
+                affine: open && (snapshot.has_affinity_room || !rules.with_room),
+                in_flight: snapshot.load.own,
+                load: snapshot.load.total,
+                slots: snapshot.load.slots,
+                speed: speeds[index],
+            };
+            (view, open)
         };
-        let views = (0..states.len()).map(view).collect();
-        let rooms = snapshots.iter().map(|snapshot| snapshot.has_room);
-        (views, rooms.collect())
+        (0..states.len()).map(view).collect()
     }
 }
 
--- a/crates/kernel/src/service_level.rs
+++ b/crates/kernel/src/service_level.rs
@@ -1,6 +1,6 @@
 //! Judges requests by the objectives of their tier, and counts them by minute.
 
-use amaranth_wire::error::ErrorKind;
+use amaranth_wire::error::{ErrorKind, RanState};
 use amaranth_wire::service_level::{LevelCause, LevelCounts, LevelMinute, LevelObjective};
 
 /// Minutes that are counted; older ones are forgotten.
@@ -17,8 +17,8 @@
 pub enum LevelEnd {
     /// The caller got a whole answer with this status.
     Answered(u16),
-    /// The caller got an error.
-    Failed(ErrorKind),
+    /// The caller got an error, with this claim about the work.
+    Failed(ErrorKind, RanState),
     /// The caller left first.
     CallerGone,
 }
@@ -44,7 +44,7 @@
         LevelEnd::Answered(status) if status >= FIRST_SERVER_FAULT => LevelCause::Error,
         LevelEnd::Answered(status) if status >= FIRST_ERROR => return None,
         LevelEnd::Answered(_) => judge_times(sample, objective),
-        LevelEnd::Failed(kind) => judge_failure(kind)?,
+        LevelEnd::Failed(kind, ran) => judge_failure(kind, ran)?,
         LevelEnd::CallerGone => match judge_times(sample, objective) {
             LevelCause::Good if sample.first_token_ms.is_none() => return None,
             cause => cause,
@@ -76,13 +76,16 @@
     }
 }
 
-fn judge_failure(kind: ErrorKind) -> Option<LevelCause> {
+fn judge_failure(kind: ErrorKind, ran: RanState) -> Option<LevelCause> {
     use ErrorKind::*;
     match kind {
         Overloaded | DeadlineExceeded | NoUpstream | LogUnavailable | NotReady => {
             Some(LevelCause::Refused)
         }
-        DeadlineMissed | UpstreamFailed | OutcomeUnknown | Internal => Some(LevelCause::Error),
+        DeadlineMissed | UpstreamFailed | OutcomeUnknown | Internal => match ran {
+            RanState::No => Some(LevelCause::Refused),
+            RanState::Unknown => Some(LevelCause::Error),
+        },
         InvalidRequest | InvalidItems | BodyTooLarge | BodyTimeout | UnknownTarget | NotFound
         | MethodNotAllowed | Unauthorized | Forbidden | KeyConflict | InProgress | Conflict
         | Cancelled | UpstreamRejected => None,
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -8,6 +8,7 @@
 use amaranth_wire::id::{DataCentreId, InstanceId, TierId};
 use amaranth_wire::unit::{ByteSize, EventRate, TimeSpan};
 
+use crate::operator::OperatorSettings;
 use crate::reader::{Result, Section, SettingsError, read};
 use crate::team::TeamSettings;
 use crate::tier::TierSettings;
@@ -67,6 +68,8 @@
     pub tiers: Vec<TierSettings>,
     /// The teams.
     pub teams: Vec<TeamSettings>,
+    /// The operators. Without any, operator calls need no key.
+    pub operators: Vec<OperatorSettings>,
     /// Limits on bodies.
     pub bodies: BodySettings,
     /// Name of the routing policy of online requests.
@@ -116,6 +119,7 @@
         let upstreams = section.sections("upstreams", UpstreamGroup::decode);
         let tiers = section.sections("tiers", TierSettings::decode);
         let teams = section.sections("teams", TeamSettings::decode);
+        let operators = section.sections("operators", OperatorSettings::decode);
         let bodies = section.section("bodies", decode_bodies);
         let routing = section.text_or("routing", "prefix_affinity".to_owned());
         let settings = Self {
@@ -126,6 +130,7 @@
             upstreams: upstreams?,
             tiers: tiers?,
             teams: teams?,
+            operators: operators?,
             bodies: bodies.unwrap_or_else(default_bodies),
             routing: routing?,
         };
@@ -139,6 +144,7 @@
         report_twice(section, "upstreams", self.upstreams.iter().map(|g| &g.name));
         report_twice(section, "tiers", self.tiers.iter().map(|t| &t.name));
         report_twice(section, "teams", self.teams.iter().map(|t| &t.name));
+        report_twice(section, "operators", self.operators.iter().map(|o| &o.name));
         self.check_data_centres(section);
         section.report_empty("data_centres", &self.data_centres);
         section.report_empty("instances", &self.instances);
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,30 @@
+//! Settings of operators.
+
+use amaranth_wire::role::OperatorRole;
+
+use crate::reader::Section;
+use crate::team::KeyDigest;
+
+/// One operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// Name in the audit view.
+    pub name: String,
+    /// What the operator may do.
+    pub role: OperatorRole,
+    /// Digest of the key.
+    pub key_sha256: KeyDigest,
+}
+
+impl OperatorSettings {
+    pub(crate) fn decode(section: &Section<'_, '_>) -> Option<Self> {
+        let name = section.text("name");
+        let role = section.text("role");
+        let key_sha256 = section.text("key_sha256");
+        Some(Self {
+            name: name?,
+            role: role?,
+            key_sha256: key_sha256?,
+        })
+    }
+}
