--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,16 +12,21 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admit::AdmissionDesk;
+use crate::batch_gate::BatchGates;
+use crate::batch_slots::BatchSlots;
 use crate::call_meter::CallMeter;
 use crate::caller_auth::CallerKeys;
 use crate::committer::LogCommitter;
 use crate::config::EntryConfig;
 use crate::gossip::MemberGossip;
 use crate::item_reader::ItemReader;
+use crate::kept_results::ResultShelf;
 use crate::log_client::LogClient;
+use crate::log_reader::LogReader;
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
+use crate::request_board::RequestBoard;
 use crate::service_levels::ServiceLevels;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
@@ -29,6 +34,9 @@
 /// Longest wait for a connection to an upstream or peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time without a sight of the log's head after which an instance without peers is cut off.
+const CUT_OFF_MS: u64 = 10_000;
+
 /// Result of a call on an instance.
 pub type Result<T> = std::result::Result<T, CallError>;
 
@@ -48,6 +56,8 @@
     pub client: HttpClient,
     /// The upstreams.
     pub upstreams: UpstreamTable,
+    /// Results that this instance keeps.
+    pub results: ResultShelf,
     /// The callers' keys.
     pub callers: CallerKeys,
     /// Online requests by tier, minute and cause.
@@ -56,10 +66,18 @@
     pub calls: CallMeter,
     /// Online requests that wait for room.
     pub admission: AdmissionDesk,
+    /// Decides on the batch places of some upstreams.
+    pub gates: BatchGates,
+    /// The batch places of this instance.
+    pub slots: Arc<BatchSlots>,
     /// The other instances.
     pub members: MemberTable,
     /// When the other instances were last heard.
     pub sights: PeerSights,
+    /// Reads of the log by way of relays.
+    pub reader: LogReader,
+    /// Online requests, in progress and recent.
+    pub requests: RequestBoard,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -88,9 +106,14 @@
             levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
+            results: ResultShelf::new(),
             sights: PeerSights::default(),
+            reader: LogReader::default(),
+            requests: RequestBoard::default(),
             relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
+            gates: BatchGates::new(&config.fleet),
+            slots: Arc::new(BatchSlots::new(&config.fleet)),
             gossip: MemberGossip::new(&config),
             client: HttpClient::new(CONNECT_LIMIT),
             work: TaskTracker::new(),
@@ -110,6 +133,11 @@
         self.caught_up.store(true, Ordering::Release);
     }
 
+    /// Whether the log was folded to its head once, or state was taken from a peer that did.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire)
+    }
+
     /// Notes that a planned stop has begun.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
@@ -128,7 +156,14 @@
 
     /// Whether the balancer may send new work here.
     pub fn is_ready(&self) -> bool {
-        self.caught_up.load(Ordering::Acquire) && !self.is_leaving()
+        self.caught_up.load(Ordering::Acquire) && !self.is_leaving() && !self.is_cut_off()
+    }
+
+    /// Whether neither the log nor any other instance was reached for long. What is in force
+    /// elsewhere may have changed meanwhile.
+    pub fn is_cut_off(&self) -> bool {
+        let log_age_ms = self.relay.log_age_ms().unwrap_or(u64::MAX);
+        log_age_ms >= CUT_OFF_MS && self.gossip.is_alone()
     }
 
     /// Names of the instances that are listed as live and not believed gone, this one included
@@ -139,13 +174,14 @@
         live
     }
 
-    /// Refuses work before the log was folded. A leaving instance still accepts until the
+    /// Refuses work before the log was folded and while cut off. A leaving instance still accepts until the
     /// balancer has noticed.
     pub fn check_started(&self) -> Result<()> {
-        if self.caught_up.load(Ordering::Acquire) {
-            return Ok(());
-        }
-        let message = "this instance has not read the log yet";
+        let message = match (self.caught_up.load(Ordering::Acquire), self.is_cut_off()) {
+            (true, false) => return Ok(()),
+            (true, true) => "this instance reaches neither the log nor any other instance",
+            (false, _) => "this instance has not read the log yet",
+        };
         Err(CallError::new(ErrorKind::NotReady, message))
     }
 
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -5,12 +5,14 @@
 
 use amaranth_kernel::cursor::EntryVerdict;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::platform::{RawEntry, ReadReply};
+use amaranth_wire::id::LogOffset;
+use amaranth_wire::platform::RawEntry;
 use amaranth_wire::record::{BatchEntry, RecordBatch};
 use tokio::time::sleep;
 
 use crate::context::InstanceContext;
-use crate::log_relay;
+use crate::log_relay::{self, RelayReply};
+use crate::state_source;
 
 /// Wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -26,10 +28,14 @@
 async fn follow(context: &InstanceContext) {
     loop {
         let from = context.state.folded();
-        match context.log.follow(from).await {
-            Ok(reply) => fold_reply(context, &reply),
+        match context.reader.follow(context, from).await {
+            Ok(relayed) if relayed.reply.oldest > from => {
+                recover(context, relayed.reply.oldest).await;
+            }
+            Ok(relayed) => fold_reply(context, &relayed),
             Err(e) => {
-                log::debug!("event=log_read_failed error={}", quote(&e.to_string()));
+                log::debug!("event=log_read_failed error={}", quote(&e.message));
+                start_from_peers(context).await;
                 log_relay::catch_up(context).await;
                 sleep(RETRY_DELAY).await;
             }
@@ -37,16 +43,33 @@
     }
 }
 
+/// Gets the state from elsewhere when the log has dropped entries that were not folded.
+async fn recover(context: &InstanceContext, oldest: LogOffset) {
+    let from = context.state.folded();
+    log::warn!("event=log_gap folded={from} oldest={oldest}");
+    if !state_source::take_from_peers(context).await || context.state.folded() < oldest {
+        state_source::take_from_log(context, oldest).await;
+    }
+}
+
+/// Lets an instance that starts while the log is down serve from its peers' state.
+async fn start_from_peers(context: &InstanceContext) {
+    if !context.has_caught_up() && state_source::take_from_peers(context).await {
+        context.set_caught_up();
+    }
+}
+
 /// Folds what a read gave.
-pub fn fold_reply(context: &InstanceContext, reply: &ReadReply) {
+pub fn fold_reply(context: &InstanceContext, relayed: &RelayReply) {
+    let reply = &relayed.reply;
     context.state.note_log_time(reply.now_ms);
-    context.state.lose_before(reply.oldest);
-    context.relay.note_read(reply);
+    context.state.note_oldest(reply.oldest);
+    context.relay.note_read(relayed);
     reply
         .entries
         .iter()
         .for_each(|entry| fold_entry(context, entry));
-    if context.state.folded() >= reply.head && !context.is_ready() {
+    if context.state.folded() >= reply.head {
         context.set_caught_up();
     }
 }
--- a/crates/entry/src/operator_access.rs
+++ b/crates/entry/src/operator_access.rs
@@ -1,7 +1,6 @@
 //! Who an operator call comes from, and whether the role allows it.
 
 use amaranth_net::route::RouteRequest;
-use amaranth_settings::team::DIGEST_BYTES;
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::role::OperatorRole;
 use sha2::{Digest, Sha256};
@@ -48,10 +47,10 @@
         .header("authorization")
         .and_then(|value| value.strip_prefix(BEARER));
     let key = key.ok_or_else(|| unauthorized("operator calls need a key"))?;
-    let digest: [u8; DIGEST_BYTES] = Sha256::digest(key).into();
+    let digest = Sha256::digest(key.as_bytes());
     let mut found = None;
     for operator in operators {
-        let same: Choice = operator.key_sha256.0.ct_eq(&digest);
+        let same: Choice = operator.key_sha256.0.as_slice().ct_eq(digest.as_slice());
         if bool::from(same) {
             found = Some(operator);
         }
--- a/crates/entry/src/operator_command.rs
+++ b/crates/entry/src/operator_command.rs
@@ -242,9 +242,10 @@
     context: &InstanceContext,
     offset: LogOffset,
 ) -> (Vec<InstanceId>, Vec<InstanceId>, Vec<SilentInstance>) {
-    let question = PeerQuestion { table: None };
-    let deadline = Instant::now() + IN_FORCE_WAIT;
+    let question = PeerQuestion::progress();
     let mut answers = ask_all(context, &question).await;
+    // A silent instance may have used up much time; those that lag are asked again all the same.
+    let deadline = Instant::now() + IN_FORCE_WAIT;
     let mut in_force: BTreeSet<InstanceId> = BTreeSet::new();
     loop {
         let mut lagging = BTreeSet::new();
--- a/crates/entry/src/operator_peers.rs
+++ b/crates/entry/src/operator_peers.rs
@@ -37,6 +37,33 @@
 pub struct PeerQuestion {
     /// The table whose rows are wanted; `None` asks only how far the peer is.
     pub table: Option<String>,
+    /// Only what was decided on the requests of this id, ended ones included.
+    #[serde(default)]
+    pub request: Option<String>,
+}
+
+impl PeerQuestion {
+    /// Asks for the rows of a table.
+    pub fn new(table: impl Into<String>) -> Self {
+        Self {
+            table: Some(table.into()),
+            request: None,
+        }
+    }
+
+    /// Asks only how far the peer is.
+    pub fn progress() -> Self {
+        Self {
+            table: None,
+            request: None,
+        }
+    }
+
+    /// Asks for the requests of one id instead.
+    pub fn with_request(mut self, id: impl Into<String>) -> Self {
+        self.request = Some(id.into());
+        self
+    }
 }
 
 /// A peer's answer.
@@ -134,7 +161,10 @@
 /// What this instance answers itself.
 pub fn own_rows(context: &InstanceContext, question: &PeerQuestion) -> PeerRows {
     let table = question.table.as_deref();
-    let rows = table.map_or_else(Vec::new, |table| operator_rows::rows(context, table));
+    let rows = match &question.request {
+        Some(id) => context.requests.explain(&context.config.instance, id),
+        None => table.map_or_else(Vec::new, |table| operator_rows::rows(context, table)),
+    };
     let changes = context.state.changes();
     PeerRows {
         instance: context.config.instance.clone(),
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -1,15 +1,16 @@
 //! What this instance knows of one upstream, and the count of its requests there.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use amaranth_kernel::concurrency_limit::ConcurrencyLimit;
 use amaranth_kernel::ejection::UpstreamHealth;
+use amaranth_kernel::rollout::UpstreamSample;
 use amaranth_kernel::upstream_load::{LoadTracker, LoadView};
 use amaranth_net::client::HttpClient;
-use amaranth_net::clock::unix_ms;
+use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_settings::upstream::UpstreamSettings;
 use amaranth_wire::engine::EngineLoad;
 use amaranth_wire::id::UpstreamId;
@@ -39,6 +40,7 @@
     health: UpstreamHealth,
     listed_leaving: bool,
     dither: f64,
+    sample: UpstreamSample,
 }
 
 /// What a choice between upstreams needs to know of one.
@@ -70,6 +72,7 @@
                 health: UpstreamHealth::new(),
                 listed_leaving: false,
                 dither: rand::random(),
+                sample: UpstreamSample::default(),
             }),
             batch_items: AtomicU32::new(0),
             room,
@@ -98,6 +101,11 @@
         self.book().load.own()
     }
 
+    /// What the requests of this instance there came to.
+    pub fn sample(&self) -> UpstreamSample {
+        self.book().sample
+    }
+
     /// Whether this instance has batch items there.
     pub fn runs_batch(&self) -> bool {
         self.batch_items.load(Ordering::Relaxed) > 0
@@ -130,10 +138,28 @@
     }
 }
 
+/// Counts one batch item at an upstream for as long as it lives.
+pub struct BatchMark(Arc<UpstreamState>);
+
+impl BatchMark {
+    /// Counts an item from now on.
+    pub fn new(state: Arc<UpstreamState>) -> Self {
+        state.batch_items.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl Drop for BatchMark {
+    fn drop(&mut self) {
+        self.0.batch_items.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts one request at an upstream for as long as it lives.
 pub struct InFlightGuard {
     state: Arc<UpstreamState>,
-    batch: bool,
+    started_ms: u64,
+    failed: AtomicBool,
 }
 
 impl InFlightGuard {
@@ -146,7 +172,8 @@
         drop(book);
         Self {
             state,
-            batch: false,
+            started_ms: steady_ms(),
+            failed: AtomicBool::new(false),
         }
     }
 
@@ -155,20 +182,23 @@
         &self.state
     }
 
-    /// Marks the request as a batch item.
-    pub fn with_batch(mut self) -> Self {
-        self.batch = true;
-        self.state.batch_items.fetch_add(1, Ordering::Relaxed);
-        self
+    /// Notes that the upstream failed the request.
+    pub fn note_failure(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+        self.state.note_failure();
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        if self.batch {
-            self.state.batch_items.fetch_sub(1, Ordering::Relaxed);
-        }
-        self.state.book().load.end(unix_ms());
+        let mut book = self.state.book();
+        book.load.end(unix_ms());
+        book.sample = book.sample.plus(UpstreamSample {
+            requests: 1,
+            errors: u64::from(*self.failed.get_mut()),
+            total_ms: steady_ms().saturating_sub(self.started_ms),
+        });
+        drop(book);
         self.state.room.notify_one();
     }
 }
--- a/crates/entry/src/upstream_table.rs
+++ b/crates/entry/src/upstream_table.rs
@@ -106,7 +106,7 @@
         self.groups.get(group).map_or(&[], Vec::as_slice)
     }
 
-    /// All upstreams.
+    /// All upstreams, with their groups.
     pub fn all(&self) -> impl Iterator<Item = (&str, &Arc<UpstreamState>)> {
         let groups = self.groups.iter();
         groups.flat_map(|(name, states)| states.iter().map(move |state| (name.as_str(), state)))
--- /dev/null
+++ b/crates/entry/tests/state_image.rs
@@ -0,0 +1,34 @@
+//! What an instance that starts from an image knows of the entries that it never reads.
+
+use amaranth_entry::shared_state::SharedState;
+use amaranth_kernel::request_intents::IntentStep;
+use amaranth_wire::id::{LogOffset, RequestId, WriterId};
+use amaranth_wire::record::{BatchEntry, LogRecord, RecordBatch};
+
+const TIME_MS: u64 = 1_000_000;
+
+fn entry(offset: u64, record: LogRecord) -> BatchEntry {
+    BatchEntry {
+        offset: LogOffset(offset),
+        time_ms: TIME_MS,
+        batch: RecordBatch::new(WriterId(1), offset + 1).with_records(vec![record]),
+    }
+}
+
+#[test]
+fn a_call_that_may_run_once_is_known_from_the_image() {
+    let request: RequestId = "booking-7".parse().expect("a valid name");
+    let intended = LogRecord::CallIntended {
+        request: request.clone(),
+        digest: "aa".to_owned(),
+        attempt: 5,
+        limit_ms: 1_000,
+    };
+    let first = SharedState::new(WriterId(1));
+    first.fold(&entry(0, intended));
+    let (_, image) = first.image();
+    let second = SharedState::new(WriterId(2));
+    second.restore(&image).expect("an image");
+    let step = second.intents().step(&request, "aa", 6, TIME_MS);
+    assert_eq!(step, IntentStep::Running);
+}
--- a/crates/kernel/src/cursor.rs
+++ b/crates/kernel/src/cursor.rs
@@ -4,6 +4,7 @@
 
 use amaranth_wire::id::{LogOffset, WriterId};
 use amaranth_wire::record::BatchEntry;
+use serde::{Deserialize, Serialize};
 
 /// How long a silent writer's last sequence number is remembered, in milliseconds of the log's
 /// clock. Longer than any writer keeps resending one batch.
@@ -28,14 +29,15 @@
     Gap,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct WriterMark {
     sequence: u64,
+    offset: LogOffset,
     time_ms: u64,
 }
 
 /// Where the fold stands.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FoldCursor {
     next: LogOffset,
     writers: HashMap<WriterId, WriterMark>,
@@ -55,6 +57,12 @@
         self.next
     }
 
+    /// The last batch of a writer that counts: its sequence number and where it stands.
+    pub fn last_of(&self, writer: WriterId) -> Option<(u64, LogOffset)> {
+        let mark = self.writers.get(&writer)?;
+        Some((mark.sequence, mark.offset))
+    }
+
     /// Goes on at a later offset, because the entries before it can no longer be read.
     pub fn jump(&mut self, oldest: LogOffset) {
         self.next = self.next.max(oldest);
@@ -82,6 +90,7 @@
         }
         let mark = WriterMark {
             sequence: entry.batch.sequence,
+            offset: entry.offset,
             time_ms: entry.time_ms,
         };
         match self.writers.get(&entry.batch.writer) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -137,7 +137,8 @@
             |_| TestProcess::start(env!("CARGO_BIN_EXE_amaranth-engine"), engine_args);
         let engines: Vec<_> = (0..engines).map(start_engine).collect();
         let names: Vec<_> = (1..=entries).map(|n| format!("entry-{n}")).collect();
-        let settings = write_settings(&platform, &engines, &names, change);
+        let retention = option_of(platform_args, "--retention").unwrap_or("24h");
+        let settings = write_settings(&platform, &engines, &names, retention, change);
         let mut fleet = Self {
             platform,
             engines,
@@ -163,11 +164,6 @@
         self.entries.insert(name.to_owned(), entry);
     }
 
-    /// Path of the settings file.
-    pub fn settings_path(&self) -> &str {
-        self.settings.to_str().expect("a plain path")
-    }
-
     /// Starts one instance with settings that differ from the others'.
     pub fn start_entry_with(&mut self, name: &str, change: impl FnOnce(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).expect("the settings");
@@ -210,6 +206,11 @@
         }
     }
 
+    /// Path of the settings file.
+    pub fn settings_path(&self) -> &str {
+        self.settings.to_str().expect("a plain path")
+    }
+
     /// Address of an instance.
     pub fn address(&self, name: &str) -> SocketAddr {
         self.entries[name].address
@@ -395,10 +396,17 @@
     (0..items).map(line).collect()
 }
 
+/// The value that follows an option.
+fn option_of<'a>(args: &[&'a str], option: &str) -> Option<&'a str> {
+    let position = args.iter().position(|arg| *arg == option)?;
+    args.get(position + 1).copied()
+}
+
 fn write_settings(
     platform: &TestProcess,
     engines: &[TestProcess],
     names: &[String],
+    retention: &str,
     change: impl FnOnce(&mut Value),
 ) -> PathBuf {
     let addresses: Vec<_> = engines.iter().map(|e| e.address.to_string()).collect();
@@ -417,7 +425,7 @@
     let mut settings = json!({
         "fleet": "test",
         "data_centres": ["dc-a", "dc-b"],
-        "platform": {"address": platform.address.to_string()},
+        "platform": {"address": platform.address.to_string(), "retention": retention},
         "instances": instances,
         "upstreams": [{
             "name": "sketch-llm",
