--- a/crates/burn/src/collect.rs
+++ b/crates/burn/src/collect.rs
@@ -9,7 +9,7 @@
 use amaranth_net::client::{CallLimits, HttpCall, HttpClient, HttpError};
 use amaranth_wire::platform::{LIST_PATH, ListedInstance};
 use amaranth_wire::service_level::{LevelReport, SERVICE_LEVELS_PATH};
-use http::header::ACCEPT;
+use http::header::{ACCEPT, AUTHORIZATION};
 use http::{HeaderMap, HeaderValue};
 use serde::Serialize;
 use tokio::task::JoinSet;
@@ -74,13 +74,14 @@
 }
 
 /// Asks instances for their reports, all at once.
-pub async fn ask(instances: Vec<(String, String)>) -> CollectedReports {
+pub async fn ask(instances: Vec<(String, String)>, key: Option<&str>) -> CollectedReports {
+    let headers = headers(key);
     let client = HttpClient::new(CALL_LIMIT);
     let mut asked = JoinSet::new();
     for (name, address) in instances {
-        let client = client.clone();
+        let (client, headers) = (client.clone(), headers.clone());
         asked.spawn(async move {
-            let answer = ask_one(&client, &address).await;
+            let answer = ask_one(&client, &address, headers).await;
             (format!("{name} at {address}"), answer)
         });
     }
@@ -98,10 +99,23 @@
     collected
 }
 
-async fn ask_one(client: &HttpClient, address: &str) -> std::result::Result<LevelReport, String> {
-    let address = address.parse().map_err(|_| "not an address".to_owned())?;
+/// Headers of every question. A key that no header can hold is left out and refused there.
+fn headers(key: Option<&str>) -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(ACCEPT, HeaderValue::from_static(MESSAGE_PACK));
+    let key = key.and_then(|key| HeaderValue::from_str(&format!("Bearer {key}")).ok());
+    if let Some(key) = key {
+        headers.insert(AUTHORIZATION, key);
+    }
+    headers
+}
+
+async fn ask_one(
+    client: &HttpClient,
+    address: &str,
+    headers: HeaderMap,
+) -> std::result::Result<LevelReport, String> {
+    let address = address.parse().map_err(|_| "not an address".to_owned())?;
     let call = HttpCall::get(address, SERVICE_LEVELS_PATH).with_headers(headers);
     let answer = client.fetch_message(call, CallLimits::new(CALL_LIMIT));
     answer.await.map_err(|e| e.to_string())
--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -248,10 +248,11 @@
     name: &str,
     expected: &str,
 ) -> Result<Option<T>> {
-    let Some(text) = request.header(name) else {
+    let Some(value) = request.headers().get(name) else {
         return Ok(None);
     };
-    let value = text.parse().map_err(|_| {
+    let value = value.to_str().ok().and_then(|text| text.parse().ok());
+    let value = value.ok_or_else(|| {
         let message = format!("{name} must be {expected}");
         CallError::new(ErrorKind::InvalidRequest, message)
     })?;
--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -233,14 +233,15 @@
     /// its turn and its share of the retry budget.
     async fn admit(&mut self) -> std::result::Result<InFlightGuard, AttemptEnd> {
         if self.progress.attempts == 0 {
+            // Batch work that it waits for may be done when it gets its turn.
+            let group = self.context.upstreams.group(&self.request.tier.upstreams);
+            self.relayed.times.beside_batch = group.iter().any(|state| state.runs_batch());
             let context = self.context.clone();
             let admitted = admit::admit(&context, &self.request);
             return match self.port.wait(admitted).await {
                 None => Err(AttemptEnd::Done(RequestEnd::CallerGone)),
                 Some(Ok(guard)) => Ok(guard),
                 Some(Err(refusal)) => {
-                    let group = self.context.upstreams.group(&self.request.tier.upstreams);
-                    self.relayed.times.beside_batch = group.iter().any(|state| state.runs_batch());
                     let end = RequestEnd::Failed(refusal.kind, refusal.ran);
                     self.port.fail(refusal);
                     Err(AttemptEnd::Done(end))
--- a/crates/entry/src/service_levels.rs
+++ b/crates/entry/src/service_levels.rs
@@ -10,11 +10,13 @@
 use amaranth_net::route::RouteRequest;
 use amaranth_settings::tier::TierSettings;
 use amaranth_wire::id::TierId;
+use amaranth_wire::role::OperatorRole;
 use amaranth_wire::service_level::{LevelObjective, LevelReport, TierLevels};
 use http::header::ACCEPT;
 use volo_http::response::Response;
 
 use crate::context::{InstanceContext, Result};
+use crate::operator_access::identify;
 
 /// The tiers of this instance.
 pub struct ServiceLevels {
@@ -75,6 +77,7 @@
 
 /// Handles a query for the service levels: MessagePack if the asker accepts it, else JSON.
 pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
+    identify(&context, &request)?.require(OperatorRole::Viewer)?;
     let now_ms = unix_ms();
     let report = LevelReport {
         instance: context.config.instance.clone(),
--- a/crates/kernel/tests/service_level.rs
+++ b/crates/kernel/tests/service_level.rs
@@ -1,6 +1,7 @@
 //! Requests judged by objectives, and counted by minute.
 
 use amaranth_kernel::service_level::{LEVEL_MINUTES, LevelEnd, LevelRing, LevelSample, judge};
+use amaranth_wire::error::RanState::{No, Unknown};
 use amaranth_wire::error::{ANSWER_TABLE, ErrorKind};
 use amaranth_wire::service_level::{LevelCause, LevelCounts, LevelObjective};
 use amaranth_wire::unit::{Percentage, TimeSpan};
@@ -39,12 +40,38 @@
         (Answered(200), None, 0, Some(Good)),
         (Answered(422), Some(900), 0, None),
         (Answered(500), None, 0, Some(Error)),
-        (Failed(ErrorKind::Overloaded), None, 0, Some(Refused)),
-        (Failed(ErrorKind::DeadlineExceeded), None, 0, Some(Refused)),
-        (Failed(ErrorKind::UpstreamFailed), Some(10), 0, Some(Error)),
-        (Failed(ErrorKind::DeadlineMissed), Some(10), 0, Some(Error)),
-        (Failed(ErrorKind::InvalidRequest), None, 0, None),
-        (Failed(ErrorKind::Unauthorized), None, 0, None),
+        (
+            Failed(ErrorKind::Overloaded, Unknown),
+            None,
+            0,
+            Some(Refused),
+        ),
+        (
+            Failed(ErrorKind::DeadlineExceeded, Unknown),
+            None,
+            0,
+            Some(Refused),
+        ),
+        (
+            Failed(ErrorKind::UpstreamFailed, No),
+            None,
+            0,
+            Some(Refused),
+        ),
+        (
+            Failed(ErrorKind::UpstreamFailed, Unknown),
+            Some(10),
+            0,
+            Some(Error),
+        ),
+        (
+            Failed(ErrorKind::DeadlineMissed, Unknown),
+            Some(10),
+            0,
+            Some(Error),
+        ),
+        (Failed(ErrorKind::InvalidRequest, Unknown), None, 0, None),
+        (Failed(ErrorKind::Unauthorized, Unknown), None, 0, None),
         (CallerGone, None, 0, Some(LateFirstToken)),
         (CallerGone, Some(10), 10, Some(Good)),
         (CallerGone, Some(10), 90, Some(SlowGap)),
@@ -64,12 +91,12 @@
         (LevelEnd::Answered(200), 100, LevelCause::Good),
         (LevelEnd::Answered(200), 900, LevelCause::BatchPressure),
         (
-            LevelEnd::Failed(ErrorKind::Overloaded),
+            LevelEnd::Failed(ErrorKind::Overloaded, Unknown),
             0,
             LevelCause::BatchPressure,
         ),
         (
-            LevelEnd::Failed(ErrorKind::UpstreamFailed),
+            LevelEnd::Failed(ErrorKind::UpstreamFailed, Unknown),
             0,
             LevelCause::Error,
         ),
@@ -83,7 +110,10 @@
 #[test]
 fn faults_of_callers_are_not_held_against_the_service() {
     for row in &ANSWER_TABLE {
-        let judged = judge(&sample(LevelEnd::Failed(row.kind), None, 0), &objective());
+        let judged = judge(
+            &sample(LevelEnd::Failed(row.kind, row.ran), None, 0),
+            &objective(),
+        );
         let caller_fault = (400..500).contains(&row.status) && row.kind != ErrorKind::Overloaded;
         assert_eq!(judged.is_none(), caller_fault, "{}", row.name);
     }
