Check both deployments in the tests

Cause: the checked run was only run by hand, and its service checks compared the caller's key while instances pass on a key of their own for each team, so no service answer was taken for the caller's own and at-most-once had 0 checks.

Change: the run derives the key as the instances do.

--- a/crates/standin/src/local_online.rs
+++ b/crates/standin/src/local_online.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranth_entry::accept::request_id;
 use amaranth_net::client::{CallLimits, HttpCall};
 use amaranth_settings::tier::TierSettings;
 use amaranth_settings::upstream::UpstreamKind;
@@ -23,6 +24,8 @@
 const CALLERS: usize = 24;
 /// Longest pause of a caller between two calls, in milliseconds.
 const MAX_PAUSE_MS: u64 = 200;
+/// Team of callers without a key.
+const TEAM: &str = "default";
 /// Tokens of an answer, at least and at most.
 const TOKENS: (u32, u32) = (8, 48);
 /// One service call in so many has a deadline that can't be met, so that refusals are checked.
@@ -35,7 +38,7 @@
 /// A call of a service that was made.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SentCall {
-    /// Its key.
+    /// Its key at the upstream.
     pub key: String,
     /// Whether every answer to it said that nothing ran.
     pub is_not_run: bool,
@@ -164,6 +167,8 @@
 /// One call that may not be repeated, and how its caller sends it again.
 struct ServiceCall {
     key: String,
+    /// The key as an instance passes it on.
+    upstream_key: String,
     path: String,
     body: String,
     is_hurried: bool,
@@ -173,10 +178,12 @@
 impl ServiceCall {
     fn new(tier: &TierSettings) -> Self {
         let key = format!("call-{:016x}", rand::random::<u64>());
+        let team = TEAM.parse().expect("a valid name");
         let mut rng = rand::rng();
         Self {
             path: format!("/v1/services/{}/orders?item=17", tier.name),
             body: json!({"key": key}).to_string(),
+            upstream_key: request_id(&team, &key).to_string(),
             key,
             is_hurried: rng.random_ratio(1, HURRIED_EVERY),
             resend: match rng.random_range(0..4) {
@@ -203,7 +210,7 @@
     fn is_own(&self, text: &[u8]) -> bool {
         let answer = serde_json::from_slice::<ServiceAnswer>(text);
         answer.is_ok_and(|answer| {
-            answer.key.as_ref() == Some(&self.key)
+            answer.key.as_ref() == Some(&self.upstream_key)
                 && answer.body_hash == body_hash(self.body.as_bytes())
         })
     }
@@ -247,7 +254,7 @@
     }
     let mut sent = sent.lock().expect("not poisoned");
     sent.push(SentCall {
-        key: call.key,
+        key: call.upstream_key,
         is_not_run,
     });
     match is_whole {
--- a/tests/local.rs
+++ b/tests/local.rs
@@ -2,16 +2,48 @@
 
 mod support;
 
+use std::path::Path;
 use std::process::Command;
 
+use serde_json::Value;
 use support::TestProcess;
 
+/// Depends on the machine's speed, so it is left to measurements.
+const ON_TIME: &str = "online is on time beside batch";
+
 fn local(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_amaranth-local"));
     command.current_dir(env!("CARGO_MANIFEST_DIR")).args(args);
     command
 }
 
+#[test]
+fn both_examples_keep_every_promise() {
+    for fleet in ["solarmapa", "harrowgate"] {
+        let settings = format!("examples/{fleet}.jsonc");
+        let report = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{fleet}.json"));
+        let report = report.to_str().expect("a plain path");
+        let output = local(&[&settings, "--time", "10s", "--report", report]).output();
+        let output = output.expect("the program runs");
+        let table = String::from_utf8_lossy(&output.stdout);
+        let text = std::fs::read_to_string(report).expect("a report");
+        let report: Value = serde_json::from_str(&text).expect("JSON");
+        let promises = report["promises"].as_array().expect("promises");
+        assert_eq!(promises.len(), 11, "{table}");
+        let broken = |row: &&Value| row["broken"] != 0;
+        for row in promises.iter().filter(|row| row["promise"] != ON_TIME) {
+            let is_kept = row["checked"] != 0 && !broken(&row);
+            assert!(is_kept, "{row}\n{table}");
+        }
+        let code = if promises.iter().any(|row| broken(&row)) {
+            4
+        } else {
+            0
+        };
+        assert_eq!(output.status.code(), Some(code), "{table}");
+    }
+}
+
 #[test]
 fn wrong_settings_and_arguments_have_their_exit_codes() {
     let cases: [(&[&str], i32); 4] = [
