Keep batch streams that a burst within the reserve leaves room for

The room had one number for starting and keeping streams, so each burst cancelled batch work although the reserve held places for it: 433 cancels for 518 items in 20 s beside the measured online load.

Policies give two numbers: streams are started above the reserve and kept up to the last free place. The bound on longer steps counts for starting while there was online work in the last seconds, and for keeping while there is any.

Shown by a_burst_within_the_reserve_costs_no_batch_work; the properties of the reserve and of the bound hold for both numbers.

--- a/crates/kernel/src/batch_room.rs
+++ b/crates/kernel/src/batch_room.rs
@@ -20,6 +20,8 @@
     pub slots: u32,
     /// Online streams there.
     pub online: u32,
+    /// Whether there was online work in the last seconds.
+    pub online_lately: bool,
     /// Places to keep free for the online work that may come at once.
     pub reserve: u32,
     /// Longest step that batch may cause while online work runs, in thousandths of the step of
@@ -29,12 +31,31 @@
     pub growth_permille: u32,
 }
 
+/// The room that batch gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BatchRoom {
+    /// Streams up to which new ones may be started.
+    pub start: u32,
+    /// Streams that may go on; those above are cancelled at once.
+    pub keep: u32,
+}
+
+impl BatchRoom {
+    /// Room that starts and keeps the same number of streams.
+    fn fixed(streams: u32) -> Self {
+        Self {
+            start: streams,
+            keep: streams,
+        }
+    }
+}
+
 /// A policy for the room that batch gets: a plug-in.
 pub struct RoomPolicy {
     /// Name in settings.
     pub name: &'static str,
     /// Batch streams that the upstream may run.
-    pub room: fn(view: &RoomView) -> u32,
+    pub room: fn(view: &RoomView) -> BatchRoom,
 }
 
 inventory::collect!(RoomPolicy);
@@ -43,10 +64,10 @@
     RoomPolicy { name: "give_way", room: give_way }
 }
 inventory::submit! {
-    RoomPolicy { name: "no_distinction", room: |view| view.slots }
+    RoomPolicy { name: "no_distinction", room: |view| BatchRoom::fixed(view.slots) }
 }
 inventory::submit! {
-    RoomPolicy { name: "static_split", room: |view| view.slots / STATIC_SPLIT_DIVISOR }
+    RoomPolicy { name: "static_split", room: |view| BatchRoom::fixed(view.slots / STATIC_SPLIT_DIVISOR) }
 }
 
 /// The room policy of this name.
@@ -54,20 +75,39 @@
     inventory::iter::<RoomPolicy>().find(|policy| policy.name == name)
 }
 
-/// What is free above the reserve; beside online work no more than keeps its steps short enough.
-fn give_way(view: &RoomView) -> u32 {
-    let kept = view.online + view.reserve.max(LEAST_RESERVE);
-    let free = view.slots.saturating_sub(kept);
-    if view.online == 0 || view.growth_permille == 0 {
-        return free;
+/// Starts streams above the reserve, and cancels them only when online work takes the last free
+/// places: a burst within the reserve costs no batch work. Beside online work no more are kept
+/// than keep its steps short enough, and none are started that would soon be too many.
+fn give_way(view: &RoomView) -> BatchRoom {
+    let free = view.slots.saturating_sub(view.online);
+    let reserve = view.reserve.max(LEAST_RESERVE);
+    let start = free.saturating_sub(reserve);
+    let keep = free.saturating_sub(LEAST_RESERVE);
+    let bearable = bearable_streams(view);
+    BatchRoom {
+        start: if view.online_lately {
+            start.min(bearable)
+        } else {
+            start
+        },
+        keep: if view.online > 0 {
+            keep.min(bearable)
+        } else {
+            keep
+        },
     }
-    let others = view.growth_permille * (view.online - 1);
-    let alone_permille = u64::from(WHOLE_PERMILLE + others);
+}
+
+/// Batch streams that lengthen the steps of online work no more than allowed.
+fn bearable_streams(view: &RoomView) -> u32 {
+    let others = u64::from(view.growth_permille) * u64::from(view.online.max(1) - 1);
+    let alone_permille = u64::from(WHOLE_PERMILLE) + others;
     let extra_permille = u64::from(view.slowdown_permille.saturating_sub(WHOLE_PERMILLE));
-    let bearable = alone_permille * extra_permille
-        / u64::from(WHOLE_PERMILLE)
-        / u64::from(view.growth_permille);
-    free.min(u32::try_from(bearable).unwrap_or(u32::MAX))
+    let extra = alone_permille * extra_permille / u64::from(WHOLE_PERMILLE);
+    let bearable = extra.checked_div(u64::from(view.growth_permille));
+    bearable.map_or(u32::MAX, |streams| {
+        u32::try_from(streams).unwrap_or(u32::MAX)
+    })
 }
 
 /// Online work of one upstream over the last seconds.
@@ -86,6 +126,11 @@
         }
     }
 
+    /// Whether there was any online work.
+    pub fn any(&self) -> bool {
+        self.samples.iter().any(|(_, online)| *online > 0)
+    }
+
     /// The largest growth of online work within the span of one burst.
     pub fn largest(&self) -> u32 {
         let mut largest = 0;
--- a/crates/kernel/src/slot_book.rs
+++ b/crates/kernel/src/slot_book.rs
@@ -97,6 +97,7 @@
         let view = RoomView {
             slots: terms.slots,
             online: self.online_now(),
+            online_lately: self.bursts.any(),
             reserve: self.bursts.largest(),
             slowdown_permille: terms.slowdown_permille,
             growth_permille: terms.growth_permille,
@@ -104,9 +105,9 @@
         let room = (policy.room)(&view);
         let wants: Vec<u32> = self.owners.values().map(|word| word.want).collect();
         let committed: Vec<u32> = self.owners.values().map(|word| word.committed).collect();
-        let shares = split_room(room, &wants);
-        let kept = split_room(room, &committed);
-        let mut left = room - kept.iter().sum::<u32>();
+        let shares = split_room(room.start, &wants);
+        let kept = split_room(room.keep, &committed);
+        let mut left = room.start.saturating_sub(kept.iter().sum());
         let mut grants = BTreeMap::new();
         for (index, (instance, word)) in self.owners.iter_mut().enumerate() {
             let keep = kept[index];
