--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -25,6 +25,8 @@
 use crate::log_relay::LogRelay;
 use crate::membership::MemberTable;
 use crate::operator_peers::PeerSights;
+use crate::request_board::RequestBoard;
+use crate::service_levels::ServiceLevels;
 use crate::shared_state::SharedState;
 use crate::upstream_table::UpstreamTable;
 
@@ -55,6 +57,8 @@
     pub upstreams: UpstreamTable,
     /// The callers' keys.
     pub callers: CallerKeys,
+    /// Online requests by tier, minute and cause.
+    pub levels: ServiceLevels,
     /// Calls in progress.
     pub calls: CallMeter,
     /// Online requests that wait for room.
@@ -69,6 +73,8 @@
     pub sights: PeerSights,
     /// Reads of the log by way of relays.
     pub reader: LogReader,
+    /// Online requests, in progress and recent.
+    pub requests: RequestBoard,
     /// Recent entries of the log, for peers that cannot read it.
     pub relay: LogRelay,
     /// What the other instances said of themselves.
@@ -94,10 +100,12 @@
         Self {
             items: ItemReader::new(log.clone()),
             callers: CallerKeys::new(&config.fleet.teams),
+            levels: ServiceLevels::new(&config.fleet.tiers),
             calls: CallMeter::default(),
             members: MemberTable::default(),
             sights: PeerSights::default(),
             reader: LogReader::default(),
+            requests: RequestBoard::default(),
             relay: LogRelay::default(),
             admission: AdmissionDesk::new(&config.fleet),
             gates: BatchGates::new(&config.fleet),
--- a/crates/entry/src/operator_access.rs
+++ b/crates/entry/src/operator_access.rs
@@ -47,10 +47,10 @@
         .header("authorization")
         .and_then(|value| value.strip_prefix(BEARER));
     let key = key.ok_or_else(|| unauthorized("operator calls need a key"))?;
-    let digest = hex(&Sha256::digest(key.as_bytes()));
+    let digest = Sha256::digest(key.as_bytes());
     let mut found = None;
     for operator in operators {
-        let same: Choice = operator.key_sha256.as_bytes().ct_eq(digest.as_bytes());
+        let same: Choice = operator.key_sha256.0.as_slice().ct_eq(digest.as_slice());
         if bool::from(same) {
             found = Some(operator);
         }
@@ -61,7 +61,3 @@
         role: operator.role,
     })
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/entry/src/operator_rows.rs
+++ b/crates/entry/src/operator_rows.rs
@@ -26,6 +26,9 @@
     source.map_or_else(Vec::new, |source| (source.rows)(context))
 }
 
+inventory::submit! { RowSource {
+    table: "requests", rows: |context| context.requests.rows(&context.config.instance),
+} }
 inventory::submit! { RowSource { table: "upstreams", rows: upstreams } }
 inventory::submit! { RowSource { table: "instances", rows: instances } }
 inventory::submit! { RowSource { table: "tiers", rows: tiers } }
@@ -50,6 +53,7 @@
     all.map(|(group, state)| {
         let in_flight = state.in_flight();
         let withheld = context.upstreams.is_withheld(&state.upstream);
+        let sample = state.sample();
         let phase = match (withheld, in_flight) {
             (false, _) => "serving",
             (true, 0) => "drained",
@@ -62,6 +66,9 @@
             "address": state.address.to_string(),
             "in_flight": in_flight,
             "state": phase,
+            "requests": sample.requests,
+            "errors": sample.errors,
+            "total_ms": sample.total_ms,
         }))
     })
     .collect()
@@ -206,7 +213,7 @@
                 StepPhase::Waiting => "waiting",
                 StepPhase::Started { .. } => "started",
                 StepPhase::Finished { .. } => "finished",
-                StepPhase::Restored => "restored",
+                StepPhase::Restored { .. } => "restored",
             };
             row(json!({"plan": command, "upstream": upstream, "state": state}))
         })
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -17,7 +17,7 @@
 use crate::shared_state::SharedState;
 use crate::{
     admit, batch_asks, batch_gate, carrier, follower, gossip, load_poll, membership, owner,
-    plan_watch, routes,
+    plan_driver, plan_watch, routes,
 };
 
 /// How long a leaving instance still accepts, so that the balancer can notice.
@@ -56,6 +56,7 @@
     tokio::spawn(batch_gate::run(context.clone()));
     tokio::spawn(batch_asks::run(context.clone()));
     tokio::spawn(plan_watch::run(context.clone()));
+    tokio::spawn(plan_driver::run(context.clone()));
     tokio::spawn(load_poll::run(context.clone()));
     tokio::spawn(admit::run(context.clone()));
     tokio::spawn(server::serve(listener, routes::router(&context), stop));
--- /dev/null
+++ b/crates/entry/src/request_board.rs
@@ -0,0 +1,181 @@
+//! Online requests of this instance: those in progress, and what was decided on recent ones.
+
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use amaranth_kernel::language::query::QueryRow;
+use amaranth_net::clock::steady_ms;
+use amaranth_wire::id::{InstanceId, TeamId, TierId, UpstreamId};
+use serde_json::{Value, json};
+
+use crate::accept::OnlineRequest;
+
+/// Ended requests whose decisions are remembered.
+const ENDED_LIMIT: usize = 1_024;
+/// Decisions that are remembered of one request.
+const EVENT_LIMIT: usize = 32;
+
+/// Where a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestPhase {
+    /// It waits for room at an upstream.
+    Waiting,
+    /// It is at an upstream.
+    Running,
+    /// It has ended.
+    Ended,
+}
+
+impl fmt::Display for RequestPhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Waiting => "waiting",
+            Self::Running => "running",
+            Self::Ended => "ended",
+        })
+    }
+}
+
+#[derive(Debug, Clone)]
+struct BoardEntry {
+    id: String,
+    tier: TierId,
+    team: TeamId,
+    phase: RequestPhase,
+    upstream: Option<UpstreamId>,
+    arrived_ms: u64,
+    events: Vec<(u64, String)>,
+}
+
+#[derive(Debug, Default)]
+struct BoardState {
+    next: u64,
+    open: HashMap<u64, BoardEntry>,
+    ended: VecDeque<BoardEntry>,
+}
+
+/// The requests of one instance.
+#[derive(Debug, Clone, Default)]
+pub struct RequestBoard {
+    state: Arc<Mutex<BoardState>>,
+}
+
+/// Notes what becomes of one request; the request has ended when it is dropped.
+#[derive(Debug)]
+pub struct RequestTicket {
+    board: RequestBoard,
+    number: u64,
+}
+
+impl RequestBoard {
+    fn state(&self) -> MutexGuard<'_, BoardState> {
+        self.state.lock().expect("not poisoned")
+    }
+
+    /// Notes a request that was accepted. Without a key of the caller's it gets an id.
+    pub fn open(&self, request: &OnlineRequest) -> RequestTicket {
+        let random = || format!("req-{:016x}", rand::random::<u64>());
+        let entry = BoardEntry {
+            id: request.key.clone().unwrap_or_else(random),
+            tier: request.tier.name.clone(),
+            team: request.team.clone(),
+            phase: RequestPhase::Waiting,
+            upstream: None,
+            arrived_ms: request.arrived_ms,
+            events: Vec::new(),
+        };
+        let mut state = self.state();
+        let number = state.next;
+        state.next += 1;
+        state.open.insert(number, entry);
+        RequestTicket {
+            board: self.clone(),
+            number,
+        }
+    }
+
+    /// Rows of the requests in progress.
+    pub fn rows(&self, instance: &InstanceId) -> Vec<QueryRow> {
+        let state = self.state();
+        let rows = state.open.values().map(|entry| entry.row(instance));
+        rows.collect()
+    }
+
+    /// What was decided on the requests of an id, ended ones included.
+    pub fn explain(&self, instance: &InstanceId, id: &str) -> Vec<QueryRow> {
+        let state = self.state();
+        let all = state.ended.iter().chain(state.open.values());
+        let found = all.filter(|entry| entry.id == id);
+        let rows = found.map(|entry| {
+            let mut row = entry.row(instance);
+            let events = entry.events.iter().map(|(at_ms, text)| {
+                let after_ms = at_ms.saturating_sub(entry.arrived_ms);
+                json!({"after_ms": after_ms, "event": text})
+            });
+            row.insert("events".to_owned(), events.collect());
+            row
+        });
+        rows.collect()
+    }
+}
+
+impl BoardEntry {
+    fn row(&self, instance: &InstanceId) -> QueryRow {
+        let row = json!({
+            "instance": instance,
+            "request": self.id,
+            "tier": self.tier,
+            "team": self.team,
+            "state": self.phase.to_string(),
+            "upstream": self.upstream,
+            "age_ms": steady_ms().saturating_sub(self.arrived_ms),
+        });
+        match row {
+            Value::Object(row) => row,
+            _ => QueryRow::new(),
+        }
+    }
+
+    fn note(&mut self, event: String) {
+        if self.events.len() < EVENT_LIMIT {
+            self.events.push((steady_ms(), event));
+        }
+    }
+}
+
+impl RequestTicket {
+    fn with_entry(&self, act: impl FnOnce(&mut BoardEntry)) {
+        if let Some(entry) = self.board.state().open.get_mut(&self.number) {
+            act(entry);
+        }
+    }
+
+    /// Notes that the request is at an upstream.
+    pub fn sent(&self, upstream: &UpstreamId) {
+        self.with_entry(|entry| {
+            entry.phase = RequestPhase::Running;
+            entry.upstream = Some(upstream.clone());
+            entry.note(format!("sent to {upstream}"));
+        });
+    }
+
+    /// Notes a decision.
+    pub fn note(&self, event: String) {
+        self.with_entry(|entry| entry.note(event));
+    }
+}
+
+impl Drop for RequestTicket {
+    fn drop(&mut self) {
+        let mut state = self.board.state();
+        let Some(mut entry) = state.open.remove(&self.number) else {
+            return;
+        };
+        entry.phase = RequestPhase::Ended;
+        state.ended.push_back(entry);
+        if state.ended.len() > ENDED_LIMIT {
+            state.ended.pop_front();
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod platform;
 pub mod record;
 pub mod role;
+pub mod service_level;
 pub mod unit;
