Ask for a shown request by the id that it is shown under

Cause: keyed requests are named by a digest of team and key since they are kept; the test asked by the key and found no row (left: 0, right: 1). Change: the test takes the one row and explains its id; as strict, since there must be exactly one.

--- a/tests/changes_config.rs
+++ b/tests/changes_config.rs
@@ -310,20 +310,21 @@
         chat("roof", 100, true),
     );
     let stream = stream.await.expect("an answer");
-    let run = fleet.ctl("entry-2", &["-e", "show requests where request = note-1"]);
+    let run = fleet.ctl("entry-2", &["-e", "show requests"]);
     let rows = run.rows();
     assert_eq!(rows.len(), 1, "{run:?}");
     assert_eq!(
         (&rows[0]["state"], &rows[0]["instance"]),
         (&json!("running"), &json!("entry-1"))
     );
+    let id = rows[0]["request"].as_str().expect("an id").to_owned();
     stream.read_all().await.expect("a whole stream");
     wait_until("the request is no longer shown", async || {
         let run = fleet.ctl("entry-2", &["-e", "show requests"]);
         run.rows().is_empty()
     })
     .await;
-    let run = fleet.ctl("entry-2", &["-e", "explain note-1"]);
+    let run = fleet.ctl("entry-2", &["-e", &format!("explain {id}")]);
     let events = run.answer()["requests"][0]["events"].to_string();
     assert!(events.contains("sent to sketch-llm-1"), "{events}");
     assert!(events.contains("Answered(200)"), "{events}");
