--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -11,7 +11,7 @@
 use amaranth_settings::fleet::FleetSettings;
 use amaranth_settings::tier::TierSettings;
 use amaranth_wire::error::{CallError, ErrorKind};
-use amaranth_wire::id::TierId;
+use amaranth_wire::id::{TeamId, TierId};
 use tokio::sync::oneshot;
 
 use crate::accept::OnlineRequest;
@@ -179,6 +179,22 @@
     }
 }
 
+/// Sets the length of a tier's queue by the configuration in force.
+fn apply_limit(context: &InstanceContext, tier: &TierSettings, queue: &mut AdmissionQueue) {
+    let name = format!("tier.{}.queue_limit", tier.name);
+    let set = context.state.config().number(&name);
+    queue.set_limit(set.unwrap_or(u64::from(tier.queue_limit)) as usize);
+}
+
+/// Sets the share of a waiting team by the configuration in force.
+fn apply_share(context: &InstanceContext, team: &TeamId, queue: &mut AdmissionQueue) {
+    let set = context
+        .state
+        .config()
+        .number(&format!("team.{team}.queue_share"));
+    queue.set_share(team, set.unwrap_or(1) as u32);
+}
+
 enum Arrival<'a> {
     Sent(InFlightGuard),
     Waits(QueuePlace<'a>, oneshot::Receiver<Verdict>),
@@ -205,9 +221,11 @@
             }
         }
     }
+    apply_limit(context, &request.tier, &mut line.queue);
     let step = line
         .queue
         .arrive(&request.team, request.deadline_ms, now_ms);
+    apply_share(context, &request.team, &mut line.queue);
     let ticket = match step {
         ArrivalStep::Refuse(refusal) => return Err(refused(refusal)),
         ArrivalStep::Wait(ticket) => ticket,
--- a/crates/entry/src/keyed_call.rs
+++ b/crates/entry/src/keyed_call.rs
@@ -39,6 +39,8 @@
 const MAX_KEPT_BYTES: usize = 256 << 10;
 /// Time added to a claim beyond the request's deadline, in milliseconds.
 const CLAIM_MARGIN_MS: u64 = 1_000;
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
 
 /// How a request's result is to be kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -218,6 +220,13 @@
     });
 }
 
+/// How long results of the request's tier are kept, by the log if it says so, in milliseconds.
+fn kept_ms(context: &InstanceContext, request: &OnlineRequest) -> u64 {
+    let name = format!("tier.{}.kept_s", request.tier.name);
+    let set = context.state.config().number(&name);
+    set.map_or(request.tier.kept.as_millis(), |seconds| seconds * MS_PER_S)
+}
+
 /// Has an answer kept as planned. Returns where it is, for the caller.
 pub async fn keep(
     context: &InstanceContext,
@@ -229,7 +238,7 @@
     match plan {
         ResultPlan::Unkept => "no".to_owned(),
         ResultPlan::Peers { id, digest } => {
-            let kept_ms = request.tier.kept.as_millis();
+            let kept_ms = kept_ms(context, request);
             let copies = match fits {
                 true => kept_results::keep(context, id, digest, &kept, kept_ms).await,
                 false => 0,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -6,7 +6,7 @@
 
 use amaranth_kernel::lease::{ShardStep, ShardView, decide_shard};
 use amaranth_kernel::ledger::{JobLedger, SHARD_COUNT};
-use amaranth_wire::id::{LeaseEpoch, ShardId};
+use amaranth_wire::id::{LeaseEpoch, ShardId, TierId};
 use amaranth_wire::message::JobPhase;
 use amaranth_wire::record::LeaseName;
 use tokio::time::sleep;
@@ -165,7 +165,7 @@
         }
         let ledger = context.state.shard(shard);
         for (job, state) in ledger.jobs() {
-            if state.phase() != JobPhase::InProgress {
+            if state.phase() != JobPhase::InProgress || is_paused(context, &state.tier) {
                 continue;
             }
             for index in state.finished.missing() {
@@ -193,6 +193,13 @@
     }
 }
 
+/// Whether the configuration makes the batch items of a tier wait.
+fn is_paused(context: &InstanceContext, tier: &TierId) -> bool {
+    let config = context.state.config();
+    let paused = config.get(&format!("tier.{tier}.batch_paused"));
+    paused.is_some_and(|setting| setting.value == true)
+}
+
 fn has_work(ledger: &JobLedger) -> bool {
     let mut jobs = ledger.jobs();
     jobs.any(|(_, state)| state.phase() == JobPhase::InProgress)
--- a/crates/kernel/src/admission_queue.rs
+++ b/crates/kernel/src/admission_queue.rs
@@ -59,10 +59,15 @@
     deadline_ms: u64,
 }
 
+/// Share of a team that nothing was set for.
+const DEFAULT_SHARE: u32 = 1;
+
 #[derive(Debug)]
 struct TeamQueue {
     team: TeamId,
     waiting: VecDeque<WaitingRequest>,
+    share: u32,
+    taken: u32,
 }
 
 /// How long requests take from being sent to their whole answer.
@@ -116,6 +121,14 @@
         self.limit = limit;
     }
 
+    /// Replaces the share of a team that waits: the requests that it may send in one turn.
+    pub fn set_share(&mut self, team: &TeamId, share: u32) {
+        let known = self.teams.iter_mut().find(|queue| queue.team == *team);
+        if let Some(queue) = known {
+            queue.share = share.max(DEFAULT_SHARE);
+        }
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.teams.iter().map(|queue| queue.waiting.len()).sum()
@@ -174,7 +187,8 @@
         Some(waiting.ticket)
     }
 
-    /// Takes the request whose turn it is: teams take turns, each in the order of arrival. A
+    /// Takes the request whose turn it is: teams take turns of as many requests as their shares,
+    /// each in the order of arrival. A
     /// request that can't be served in time any more does not count as its team's turn.
     pub fn next(&mut self, now_ms: u64) -> Option<HeadStep> {
         let deadline_ms = self.teams.front()?.waiting.front()?.deadline_ms;
@@ -185,7 +199,7 @@
         }
         let (ticket, team_waits) = self.pop_front();
         if team_waits {
-            self.teams.rotate_left(1);
+            self.end_turn();
         }
         self.note_send(now_ms);
         Some(HeadStep::Send(ticket))
@@ -247,6 +261,8 @@
             None => self.teams.push_back(TeamQueue {
                 team: team.clone(),
                 waiting: VecDeque::from([waiting]),
+                share: DEFAULT_SHARE,
+                taken: 0,
             }),
         }
         ticket
@@ -263,6 +279,18 @@
         (waiting.ticket, team_waits)
     }
 
+    /// Gives the turn to the next team once the first has had its share.
+    fn end_turn(&mut self) {
+        let Some(queue) = self.teams.front_mut() else {
+            return;
+        };
+        queue.taken += 1;
+        if queue.taken >= queue.share {
+            queue.taken = 0;
+            self.teams.rotate_left(1);
+        }
+    }
+
     fn note_send(&mut self, now_ms: u64) {
         if let Some(last) = self.last_send_ms.filter(|_| !self.is_empty()) {
             let gap = now_ms.saturating_sub(last) as f64;
--- a/crates/kernel/src/setting_table.rs
+++ b/crates/kernel/src/setting_table.rs
@@ -66,20 +66,8 @@
 };
 
 /// Every setting that the log may change.
-pub const SETTING_TABLE: [SettingSpec; 10] = [
+pub const SETTING_TABLE: [SettingSpec; 8] = [
     QUEUE_LIMIT,
-    number(
-        "tier",
-        "concurrency_limit",
-        (1, 100_000),
-        "requests in flight at one upstream",
-    ),
-    number(
-        "tier",
-        "batch_reserve",
-        (0, 100_000),
-        "places of an upstream that batch leaves free",
-    ),
     number(
         "tier",
         "kept_s",
--- a/crates/kernel/tests/admission.rs
+++ b/crates/kernel/tests/admission.rs
@@ -235,3 +235,22 @@
     let refused = queue.arrive(&team(0), 400, 0);
     assert!(matches!(refused, ArrivalStep::Refuse(_)), "{refused:?}");
 }
+
+#[test]
+fn a_team_with_a_larger_share_sends_more_in_its_turn() {
+    let team = |name: &str| -> TeamId { name.parse().expect("a valid name") };
+    let mut queue = AdmissionQueue::new(100);
+    let mut owners = HashMap::new();
+    for name in ["a", "b"].repeat(4) {
+        let ArrivalStep::Wait(ticket) = queue.arrive(&team(name), u64::MAX, 0) else {
+            panic!("there is room");
+        };
+        owners.insert(ticket, name);
+    }
+    queue.set_share(&team("a"), 3);
+    let sent = std::iter::from_fn(|| match queue.next(0)? {
+        HeadStep::Send(ticket) => Some(owners[&ticket]),
+        HeadStep::Refuse(..) => None,
+    });
+    assert_eq!(sent.collect::<String>(), "aaababbb");
+}
