--- a/benches/batch_beside_online.rs
+++ b/benches/batch_beside_online.rs
@@ -1,5 +1,5 @@
 //! Batch beside online work, policy by policy, on separate processes: first token of online
-//! requests, batch throughput, time to give way, and appends for each item.
+//! requests, batch throughput, time to preempt, and appends for each item.
 //!
 //! `cargo bench --bench batch_beside_online`
 
@@ -37,7 +37,7 @@
     name: String,
     first_token_ms: Vec<f64>,
     batch_tokens_per_s: f64,
-    give_way_ms: Vec<f64>,
+    preempt_ms: Vec<f64>,
     cancels: u64,
     items: u64,
     appends: f64,
@@ -48,13 +48,13 @@
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let runs = [
-            ("no batch", "give_way", 1_200, false),
+            ("no batch", "preempt", 1_200, false),
             ("no_distinction", "no_distinction", 1_200, true),
             ("static_split", "static_split", 1_200, true),
-            ("give_way, slowdown 1500", "give_way", 1_500, true),
-            ("give_way, slowdown 1050", "give_way", 1_050, true),
+            ("preempt, slowdown 1500", "preempt", 1_500, true),
+            ("preempt, slowdown 1050", "preempt", 1_050, true),
         ];
-        println!("| policy | first token p50 | p99 | batch tokens/s | gave way p50, max | cancels | items | appends per 100 items | bytes per item |");
+        println!("| policy | first token p50 | p99 | batch tokens/s | time to preempt p50, max | cancels | items | appends per 100 items | bytes per item |");
         println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (name, policy, slowdown, batch) in runs {
             print_run(&measure(name, policy, slowdown, batch).await);
@@ -93,7 +93,7 @@
     let cancels_before = counts(&fleet, "cancels").await;
     let done_before = completed(&fleet, &job).await;
     let log_before = log_use(&fleet).await;
-    let (first_token_ms, give_way_ms) = online(&fleet, batch).await;
+    let (first_token_ms, preempt_ms) = online(&fleet, batch).await;
     let tokens = counts(&fleet, "tokens").await - tokens_before;
     let online_tokens = first_token_ms.len() as u64 * u64::from(ONLINE_TOKENS);
     let log_after = log_use(&fleet).await;
@@ -101,7 +101,7 @@
         name: name.to_owned(),
         batch_tokens_per_s: tokens.saturating_sub(online_tokens) as f64 / RUN.as_secs_f64(),
         first_token_ms,
-        give_way_ms,
+        preempt_ms,
         cancels: counts(&fleet, "cancels").await - cancels_before,
         items: completed(&fleet, &job).await - done_before,
         appends: log_after.0 - log_before.0,
@@ -141,8 +141,8 @@
         .into_iter()
         .map(|call| call.expect("a time"));
     let watched = join_all(watches).await.into_iter();
-    let gave_way = watched.filter_map(|watch| watch.expect("a watch"));
-    (times.collect(), gave_way.collect())
+    let preempted = watched.filter_map(|watch| watch.expect("a watch"));
+    (times.collect(), preempted.collect())
 }
 
 async fn first_token(fleet: Arc<TestFleet>, number: usize) -> f64 {
@@ -229,9 +229,9 @@
         percentile(&run.first_token_ms, 0.5),
         percentile(&run.first_token_ms, 0.99),
         run.batch_tokens_per_s,
-        percentile(&run.give_way_ms, 0.5),
-        percentile(&run.give_way_ms, 1.0),
-        run.give_way_ms.len(),
+        percentile(&run.preempt_ms, 0.5),
+        percentile(&run.preempt_ms, 1.0),
+        run.preempt_ms.len(),
         run.cancels,
         run.items,
         100.0 * run.appends / items,
--- a/crates/entry/src/batch_gate.rs
+++ b/crates/entry/src/batch_gate.rs
@@ -28,7 +28,7 @@
 /// Time between two looks at load reports and silent instances.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 /// The policy that is used when the settings' is not known.
-const DEFAULT_POLICY: &str = "give_way";
+const DEFAULT_POLICY: &str = "preempt";
 /// Growth of the step that is assumed before reports tell, in thousandths for each stream.
 const DEFAULT_GROWTH_PERMILLE: u32 = 30;
 
--- a/crates/entry/src/batch_slots.rs
+++ b/crates/entry/src/batch_slots.rs
@@ -73,8 +73,8 @@
     group: String,
     upstream: UpstreamId,
     stream: u64,
-    /// Told when the stream has to give way.
-    pub give_way: CancellationToken,
+    /// Cancelled when the stream is preempted.
+    pub preempt: CancellationToken,
 }
 
 impl SlotLease {
@@ -131,16 +131,16 @@
             (!avoid.contains(upstream), slots.free(now_ms))
         };
         let (upstream, slots) = open.max_by_key(|(upstream, slots)| rank(upstream, slots))?;
-        let give_way = CancellationToken::new();
+        let preempt = CancellationToken::new();
         let stream = slots.next_stream;
         slots.next_stream += 1;
-        slots.streams.insert(stream, give_way.clone());
+        slots.streams.insert(stream, preempt.clone());
         Some(SlotLease {
             slots: self.clone(),
             group: name.to_owned(),
             upstream: upstream.clone(),
             stream,
-            give_way,
+            preempt,
         })
     }
 
@@ -166,7 +166,7 @@
         (running + group.waiting, running)
     }
 
-    /// Takes a grant, and has the youngest streams above what it keeps give way. A grant counts from before
+    /// Takes a grant, and preempts the youngest streams above what it keeps. A grant counts from before
     /// it was asked for.
     pub fn set_granted(&self, group: &str, upstream: &UpstreamId, grant: SlotGrant, asked_ms: u64) {
         let Some(mut group) = self.group(group) else {
@@ -178,8 +178,8 @@
         let above = slots.streams.len().saturating_sub(grant.keep as usize);
         let youngest: Vec<u64> = slots.streams.keys().rev().take(above).copied().collect();
         for stream in youngest {
-            if let Some(give_way) = slots.streams.get(&stream) {
-                give_way.cancel();
+            if let Some(preempt) = slots.streams.get(&stream) {
+                preempt.cancel();
             }
         }
         drop(group);
--- a/crates/entry/src/item_call.rs
+++ b/crates/entry/src/item_call.rs
@@ -32,7 +32,7 @@
     /// With an answer that is the item's result.
     Answered(u16, Vec<u8>),
     /// It was cancelled for online work; this was not an attempt.
-    GaveWay,
+    Preempted,
     /// It was not started, since it may not be any more.
     Unwanted,
     /// It did not run, for no fault of the item's; this was not an attempt.
@@ -97,9 +97,9 @@
         .with_body(body.to_vec());
     let answer = tokio::select! {
         answer = state.client.fetch(call, CallLimits::new(ITEM_LIMIT)) => answer,
-        () = lease.give_way.cancelled() => {
-            metrics::counter!("amaranth_batch_gave_way_total").increment(1);
-            return CallEnd::GaveWay;
+        () = lease.preempt.cancelled() => {
+            metrics::counter!("amaranth_batch_preempted_total").increment(1);
+            return CallEnd::Preempted;
         }
     };
     stream.done = answer.is_ok();
--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -96,7 +96,7 @@
                 return Some(outcome(task, attempts + 1, status, body));
             }
             CallEnd::Unwanted => return None,
-            CallEnd::GaveWay => {}
+            CallEnd::Preempted => {}
             CallEnd::NotRun => sleep(RETRY_DELAY).await,
             CallEnd::Failed => {
                 attempts += 1;
--- a/crates/kernel/examples/ledger_memory.rs
+++ b/crates/kernel/examples/ledger_memory.rs
@@ -64,6 +64,7 @@
 
 fn main() {
     println!("jobs   items each  resident KiB  bytes a job");
+    let mut kept = Vec::new();
     for (jobs, items) in [
         (1_000, 400),
         (10_000, 400),
@@ -80,6 +81,7 @@
             grown / 1_024,
             grown / jobs
         );
-        drop(ledger);
+        // Kept, so that the next row does not reuse its memory.
+        kept.push(ledger);
     }
 }
--- a/crates/kernel/src/batch_room.rs
+++ b/crates/kernel/src/batch_room.rs
@@ -61,7 +61,7 @@
 inventory::collect!(RoomPolicy);
 
 inventory::submit! {
-    RoomPolicy { name: "give_way", room: give_way }
+    RoomPolicy { name: "preempt", room: preempt }
 }
 inventory::submit! {
     RoomPolicy { name: "no_distinction", room: |view| BatchRoom::fixed(view.slots) }
@@ -78,7 +78,7 @@
 /// Starts streams above the reserve, and cancels them only when online work takes the last free
 /// places: a burst within the reserve costs no batch work. Beside online work no more are kept
 /// than keep its steps short enough, and none are started that would soon be too many.
-fn give_way(view: &RoomView) -> BatchRoom {
+fn preempt(view: &RoomView) -> BatchRoom {
     let free = view.slots.saturating_sub(view.online);
     let reserve = view.reserve.max(LEAST_RESERVE);
     let start = free.saturating_sub(reserve);
--- a/crates/kernel/tests/batch_room.rs
+++ b/crates/kernel/tests/batch_room.rs
@@ -32,8 +32,8 @@
     )
 }
 
-fn give_way(view: &RoomView) -> BatchRoom {
-    (room_policy("give_way").expect("registered").room)(view)
+fn preempt(view: &RoomView) -> BatchRoom {
+    (room_policy("preempt").expect("registered").room)(view)
 }
 
 proptest! {
@@ -43,7 +43,7 @@
     /// place is free whatever is kept; online work is slowed no more than allowed.
     #[test]
     fn online_work_finds_its_reserve_and_its_speed(view in any_view()) {
-        let room = give_way(&view);
+        let room = preempt(&view);
         let free = |batch: u32| view.slots.saturating_sub(view.online + batch);
         prop_assert!(room.start == 0 || free(room.start) >= view.reserve.max(1));
         prop_assert!(room.keep == 0 || free(room.keep) >= 1);
@@ -59,8 +59,8 @@
     #[test]
     fn idle_room_is_filled(view in any_view()) {
         let idle = RoomView { online: 0, online_lately: false, ..view };
-        prop_assert_eq!(give_way(&idle).start, view.slots.saturating_sub(view.reserve.max(1)));
-        prop_assert!(give_way(&view).start <= give_way(&idle).start);
+        prop_assert_eq!(preempt(&idle).start, view.slots.saturating_sub(view.reserve.max(1)));
+        prop_assert!(preempt(&view).start <= preempt(&idle).start);
     }
 
     /// Online work that takes no more than the reserve cancels nothing that was started before,
@@ -68,10 +68,10 @@
     #[test]
     fn a_burst_within_the_reserve_costs_no_batch_work(view in any_view(), burst in 0..20_u32) {
         let view = RoomView { slowdown_permille: u32::MAX, ..view };
-        let started = give_way(&view).start;
+        let started = preempt(&view).start;
         let burst = burst.min(view.reserve.saturating_sub(1));
         let after = RoomView { online: view.online + burst, online_lately: true, ..view };
-        prop_assert!(started == 0 || give_way(&after).keep >= started);
+        prop_assert!(started == 0 || preempt(&after).keep >= started);
     }
 
     /// All room is given out, nobody gets more than wanted, and nobody who wants more gets less
@@ -102,7 +102,7 @@
         let names = ["entry-1", "entry-2", "entry-3", "entry-4"];
         let names = names.map(|name| name.parse::<InstanceId>().expect("a valid name"));
         let terms = SlotTerms { slots: 16, slowdown_permille: 1_000, growth_permille: 0 };
-        let policy = room_policy("give_way").expect("registered");
+        let policy = room_policy("preempt").expect("registered");
         let mut book = SlotBook::default();
         let mut grants = [SlotGrant::default(); 4];
         let mut running = [0_u32; 4];
@@ -141,7 +141,7 @@
 }
 
 #[test]
-fn the_baselines_do_not_give_way() {
+fn the_baselines_do_not_preempt() {
     let view = RoomView {
         slots: 16,
         online: 20,
@@ -151,7 +151,7 @@
         growth_permille: 30,
     };
     let keep = |name| (room_policy(name).expect("registered").room)(&view).keep;
-    let kept = ["give_way", "no_distinction", "static_split"].map(keep);
+    let kept = ["preempt", "no_distinction", "static_split"].map(keep);
     assert_eq!(kept, [0, 16, 8]);
 }
 
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -290,7 +290,7 @@
 
 fn default_batch() -> BatchSettings {
     BatchSettings {
-        policy: "give_way".to_owned(),
+        policy: "preempt".to_owned(),
         slowdown: 1_200,
     }
 }
--- a/tests/batch_giving_way.rs
+++ b/tests/batch_preemption.rs
@@ -69,7 +69,7 @@
 
 #[tokio::test]
 async fn a_burst_does_not_wait_for_batch_items_to_end() {
-    let fleet = start("give_way").await;
+    let fleet = start("preempt").await;
     let job = submit(&fleet).await;
     wait_active(&fleet, SLOTS - 1).await;
     let before = count(&fleet, "/engine/counts", "tokens").await;
@@ -82,7 +82,7 @@
         "{before} to {after} tokens"
     );
     let cancels = count(&fleet, "/engine/counts", "cancels").await;
-    assert!(cancels >= 1, "no stream gave way");
+    assert!(cancels >= 1, "no stream was preempted");
     let ended = fleet.wait_job("entry-2", &job).await;
     let all = json!({"total": ITEMS, "completed": ITEMS, "failed": 0});
     assert_eq!(ended["request_counts"], all);
@@ -90,7 +90,7 @@
 
 #[tokio::test]
 async fn a_cancelled_job_stops_at_the_engine() {
-    let fleet = start("give_way").await;
+    let fleet = start("preempt").await;
     let job = submit(&fleet).await;
     wait_active(&fleet, SLOTS - 1).await;
     let path = format!("/v1/batches/{job}/cancel");
