--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,6 +2,7 @@
 //! arguments; nothing here reads a clock, opens a socket or starts a thread.
 
 pub mod admission_queue;
+pub mod attempt_plan;
 pub mod batch_room;
 pub mod bitmap;
 pub mod change_state;
@@ -11,14 +12,17 @@
 pub mod cursor;
 pub mod decision_log;
 pub mod ejection;
+pub mod event_framing;
 pub mod file_table;
 pub mod hashing;
+pub mod job_book;
 pub mod language;
 pub mod lease;
 pub mod ledger;
 pub mod log_clock;
 pub mod log_source;
 pub mod membership;
+pub mod placement;
 pub mod plan_state;
 pub mod plugin;
 pub mod quota;
@@ -27,6 +31,7 @@
 pub mod retention;
 pub mod retry;
 pub mod rollout;
+pub mod route_table;
 pub mod routing;
 pub mod service_level;
 pub mod setting_table;
@@ -35,3 +40,4 @@
 pub mod stream_assembly;
 pub mod subset;
 pub mod upstream_load;
+pub mod upstream_registry;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod clock;
 pub mod exit_codes;
+pub mod log_queue;
 pub mod route;
 pub mod server;
 pub mod telemetry;
--- a/crates/net/src/telemetry.rs
+++ b/crates/net/src/telemetry.rs
@@ -1,26 +1,44 @@
 //! Logs and metrics of a process.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::sync::OnceLock;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::log_queue::LogQueue;
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
+/// Own events, and of libraries only what is wrong.
+const QUIET_FILTER: &str = "info,volo=warn,volo_http=warn";
+
 /// Starts logging to stderr: one line of key=value pairs for each event, filtered by `RUST_LOG`.
 pub fn init_logs() {
-    init_logs_at("info,volo=warn,volo_http=warn");
+    init_logs_at(QUIET_FILTER);
 }
 
 /// Starts logging like [`init_logs`] with another filter for when `RUST_LOG` is not set.
 pub fn init_logs_at(filter: &str) {
     let env = env_logger::Env::default().default_filter_or(filter);
     let _ = env_logger::Builder::from_env(env)
-        .format(|buf, record| {
-            let time = buf.timestamp_millis();
-            let level = record.level().as_str().to_ascii_lowercase();
-            writeln!(buf, "time={time} level={level} {}", record.args())
-        })
+        .format(write_line)
+        .try_init();
+}
+
+fn write_line(buf: &mut env_logger::fmt::Formatter, record: &log::Record<'_>) -> io::Result<()> {
+    let time = buf.timestamp_millis();
+    let level = record.level().as_str().to_ascii_lowercase();
+    writeln!(buf, "time={time} level={level} {}", record.args())
+}
+
+/// Starts logging to standard output through a bounded queue, so that no caller waits for its
+/// reader; lines beyond the bound are dropped and counted.
+pub fn init_log_queue() {
+    let env = env_logger::Env::default().default_filter_or(QUIET_FILTER);
+    let queue = Box::new(LogQueue::new(io::stdout()));
+    let _ = env_logger::Builder::from_env(env)
+        .format(write_line)
+        .target(env_logger::Target::Pipe(queue))
         .try_init();
 }
 
--- /dev/null
+++ b/crates/serve/src/batch/commit.rs
@@ -0,0 +1,103 @@
+//! Group commit: entries of the whole instance in few appends, one at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_wire::batch_entry::BatchEntry;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::batch::pieces;
+use crate::log_access::{DurableLog, LogError, NewEntry};
+
+/// Entries that wait for an append; more means that the log can't be reached.
+const QUEUE_ENTRIES: usize = 4_096;
+/// Time in which entries that can wait are gathered: results are read every half second.
+const GATHER: Duration = Duration::from_millis(60);
+
+type Outcome = Result<(), LogError>;
+
+struct QueuedEntry {
+    records: Vec<NewEntry>,
+    urgent: bool,
+    done: oneshot::Sender<Outcome>,
+}
+
+/// Appends entries. Cheap to clone.
+#[derive(Clone)]
+pub struct BatchCommitter {
+    queue: mpsc::Sender<QueuedEntry>,
+    entry_bytes: usize,
+}
+
+impl BatchCommitter {
+    /// A committer whose task runs until the token is cancelled.
+    pub fn new(log: Arc<DurableLog>, stop: CancellationToken) -> Self {
+        let (queue, entries) = mpsc::channel(QUEUE_ENTRIES);
+        let entry_bytes = log.entry_bytes;
+        tokio::spawn(async move { stop.run_until_cancelled(run(log, entries)).await });
+        Self { queue, entry_bytes }
+    }
+
+    /// Appends an entry under a new key. Urgent ones don't wait for others.
+    pub async fn append(&self, entry: &BatchEntry, urgent: bool) -> Outcome {
+        let records = pieces::split(entry, entry.job(), self.entry_bytes);
+        self.append_records(records, urgent).await
+    }
+
+    /// Appends records.
+    pub async fn append_records(&self, records: Vec<NewEntry>, urgent: bool) -> Outcome {
+        let (done, outcome) = oneshot::channel();
+        let queued = QueuedEntry {
+            records,
+            urgent,
+            done,
+        };
+        let full = |_| LogError::NotDone("too many entries wait".to_owned());
+        self.queue.try_send(queued).map_err(full)?;
+        let ended = |_| LogError::Unknown("the instance stops".to_owned());
+        outcome.await.map_err(ended)?
+    }
+}
+
+async fn run(log: Arc<DurableLog>, mut entries: mpsc::Receiver<QueuedEntry>) {
+    let mut held = None;
+    loop {
+        let first = match held.take() {
+            Some(first) => first,
+            None => match entries.recv().await {
+                Some(first) => first,
+                None => return,
+            },
+        };
+        if !first.urgent && entries.is_empty() {
+            sleep(GATHER).await;
+        }
+        let mut records = first.records;
+        let mut waiting = vec![first.done];
+        let mut bytes = size(&records);
+        while let Ok(next) = entries.try_recv() {
+            let more = size(&next.records);
+            if bytes + more > log.append_bytes {
+                held = Some(next);
+                break;
+            }
+            bytes += more;
+            records.extend(next.records);
+            waiting.push(next.done);
+        }
+        let outcome = (log.append)(records).await.map(|_| ());
+        for done in waiting {
+            // Whoever no longer waits for the outcome does not need it.
+            let _ = done.send(outcome.clone());
+        }
+    }
+}
+
+/// Bytes of records in an append: each has a length, and a key with a length of its own.
+fn size(records: &[NewEntry]) -> usize {
+    let record =
+        |record: &NewEntry| record.key.len() + record.value.as_ref().map_or(0, Vec::len) + 5;
+    records.iter().map(record).sum()
+}
--- /dev/null
+++ b/crates/serve/src/batch/item_run.rs
@@ -0,0 +1,240 @@
+//! One item of a batch job: attempts until it has an end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::event_framing::EventFraming;
+use amaranth_kernel::placement::PlacementDemand;
+use amaranth_kernel::route_table::{RouteKind, RouteRule};
+use amaranth_net::clock::unix_ms;
+use amaranth_net::telemetry::quote;
+use amaranth_wire::batch_entry::{ItemEnd, SubmittedItem};
+use amaranth_wire::id::JobId;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use rand::RngExt;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
+use crate::call::UpstreamCodec;
+use crate::connection_book::OpenAnswer;
+use crate::upstream_pool::{PoolStep, UpstreamPlace, UpstreamPool};
+
+/// Longest silence of an upstream before its connection is given up: an engine that preempts an
+/// item reads it again from the start, which takes well under this.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+/// Pause after a try that found no room, from half to one and a half of it.
+const ROOM_PAUSE: Duration = Duration::from_millis(150);
+
+/// Finds the route of an item in the configuration in force.
+pub type RouteFinder = Arc<dyn Fn() -> Option<Arc<RouteRule>> + Send + Sync>;
+
+/// What running items needs.
+pub struct ItemPath {
+    /// The upstreams.
+    pub pool: Arc<UpstreamPool>,
+    /// How they are spoken to.
+    pub codec: UpstreamCodec,
+}
+
+/// One item that runs.
+pub struct ItemRun {
+    path: Arc<ItemPath>,
+    job: JobId,
+    item: SubmittedItem,
+    host: String,
+    received_ms: u64,
+    find_route: RouteFinder,
+    texts: Vec<String>,
+    last_event: Option<u64>,
+    failures: u32,
+}
+
+enum ItemStep {
+    End(ItemEnd),
+    Again,
+    Wait,
+}
+
+impl ItemRun {
+    /// An item of a job that was received at this time.
+    pub fn new(
+        path: Arc<ItemPath>,
+        job: JobId,
+        item: SubmittedItem,
+        host: String,
+        received_ms: u64,
+        find_route: RouteFinder,
+    ) -> Self {
+        Self {
+            path,
+            job,
+            item,
+            host,
+            received_ms,
+            find_route,
+            texts: Vec::new(),
+            last_event: None,
+            failures: 0,
+        }
+    }
+
+    /// Runs until the item has an end.
+    pub async fn run(mut self) -> ItemEnd {
+        loop {
+            match self.step().await {
+                ItemStep::End(end) => return end,
+                ItemStep::Again => {}
+                ItemStep::Wait => {
+                    let factor = rand::rng().random_range(0.5..1.5);
+                    sleep(ROOM_PAUSE.mul_f64(factor)).await;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> ItemStep {
+        let Some(route) = (self.find_route)() else {
+            self.note_end("the route is gone");
+            return ItemStep::End(ItemEnd::Errored);
+        };
+        if self.is_given_up(&route) {
+            self.note_end("given up");
+            return ItemStep::End(ItemEnd::Errored);
+        }
+        let Some(group) = route.group(rand::rng().random()) else {
+            return ItemStep::Wait;
+        };
+        let place = match self.path.pool.choose(group, PlacementDemand::Batch, &[]) {
+            PoolStep::Send(place) => place,
+            PoolStep::Refuse { .. } | PoolStep::NoUpstream => return ItemStep::Wait,
+        };
+        self.attempt(place, &route).await
+    }
+
+    fn is_given_up(&self, route: &RouteRule) -> bool {
+        let RouteKind::Batch { give_up_ms, .. } = route.kind else {
+            return false;
+        };
+        unix_ms() > self.received_ms.saturating_add(give_up_ms)
+    }
+
+    async fn attempt(&mut self, place: UpstreamPlace, route: &RouteRule) -> ItemStep {
+        let Some(request) = self.request() else {
+            self.note_end("the item names no request");
+            return ItemStep::End(ItemEnd::Errored);
+        };
+        let limits = AttemptLimits {
+            head_by: Instant::now() + SILENCE_LIMIT,
+            remaining: None,
+            resume_after: self.last_event,
+        };
+        let path = self.path.clone();
+        match attempt(&path.pool, &path.codec, place, &request, limits).await {
+            AttemptStep::Answer(answer, place) => self.read(answer, place, route).await,
+            AttemptStep::NotRun { .. } => ItemStep::Wait,
+            AttemptStep::Broken { why, upstream } => {
+                self.note_break(upstream.as_str(), &why);
+                ItemStep::Again
+            }
+        }
+    }
+
+    async fn read(
+        &mut self,
+        mut answer: OpenAnswer,
+        place: UpstreamPlace,
+        route: &RouteRule,
+    ) -> ItemStep {
+        let status = answer.status();
+        if status == StatusCode::UNPROCESSABLE_ENTITY {
+            self.note_end("the upstream can't do it");
+            place.note_success(None);
+            return ItemStep::End(ItemEnd::Errored);
+        }
+        if !status.is_success() {
+            self.failures += 1;
+            let why = format!("answered {}", status.as_u16());
+            self.note_break(place.upstream.as_str(), &why);
+            if status == StatusCode::INTERNAL_SERVER_ERROR && self.failures >= route.max_attempts {
+                self.note_end("it failed too often");
+                return ItemStep::End(ItemEnd::Errored);
+            }
+            return ItemStep::Wait;
+        }
+        match self.read_events(&mut answer).await {
+            Ok(()) => {
+                place.note_success(None);
+                answer.finish();
+                ItemStep::End(ItemEnd::Succeeded(self.texts.join("\n")))
+            }
+            Err(why) => {
+                place.note_failure();
+                self.note_break(place.upstream.as_str(), &why);
+                ItemStep::Again
+            }
+        }
+    }
+
+    async fn read_events(&mut self, answer: &mut OpenAnswer) -> Result<(), String> {
+        let mut framing = EventFraming::new();
+        loop {
+            let chunk = match timeout(SILENCE_LIMIT, answer.next_chunk()).await {
+                Ok(Ok(Some(chunk))) => chunk,
+                Ok(Ok(None)) if framing.has_partial() => {
+                    return Err("the stream ends within an event".to_owned());
+                }
+                Ok(Ok(None)) => return Ok(()),
+                Ok(Err(e)) => return Err(e.to_string()),
+                Err(_) => return Err("no event in time".to_owned()),
+            };
+            framing
+                .push(&chunk)
+                .map_err(|_| "an event is too long".to_owned())?;
+            while let Some(event) = framing.next_event() {
+                let due = self.last_event.map_or(event.id, |last| Some(last + 1));
+                if event.id != due {
+                    return Err(format!("event {:?} where {due:?} is due", event.id));
+                }
+                self.last_event = event.id;
+                self.texts.push(event.data());
+            }
+        }
+    }
+
+    fn request(&self) -> Option<ForwardRequest> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            let name: HeaderName = name.parse().ok()?;
+            headers.insert(name, HeaderValue::from_str(value).ok()?);
+        }
+        headers.insert(http::header::HOST, HeaderValue::from_str(&self.host).ok()?);
+        Some(ForwardRequest {
+            id: self.item.id.as_str().parse().ok()?,
+            method: Method::POST,
+            path: self.item.path.clone(),
+            headers,
+            body: Bytes::from(self.item.body.clone()),
+        })
+    }
+
+    fn note_break(&self, upstream: &str, why: &str) {
+        log::info!(
+            "event=item_attempt_failed job={} item={} upstream={upstream} why={} last_event={:?} failures={}",
+            self.job,
+            self.item.id,
+            quote(why),
+            self.last_event,
+            self.failures,
+        );
+    }
+
+    fn note_end(&self, why: &str) {
+        log::info!(
+            "event=item_errored job={} item={} why={}",
+            self.job,
+            self.item.id,
+            quote(why)
+        );
+    }
+}
--- /dev/null
+++ b/crates/serve/src/batch/mod.rs
@@ -0,0 +1,11 @@
+//! Batch jobs on the durable log: accepted once, run by one instance at a time, readable
+//! everywhere.
+
+pub mod board;
+pub mod commit;
+pub mod intake;
+pub mod item_run;
+pub mod pieces;
+pub mod reading;
+pub mod shards;
+pub mod worker;
--- /dev/null
+++ b/crates/serve/src/connection_book.rs
@@ -0,0 +1,284 @@
+//! Connections to upstreams and to the log, each used by one request at a time.
+//!
+//! A connection is kept only after a whole answer that allows it, and never longer than the other
+//! side announced. A request that failed is known to be unsent if no byte of it was written.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::socket;
+use hyper_util::rt::TokioIo;
+
+/// Longest wait for a connection: many round trips between data centres, and far under a first
+/// event's objective.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Age at which an idle connection is dropped when the other side announced none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Taken off an announced idle time, so that a request does not cross the other side's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Why a request got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SendError {
+    /// Provably nothing was sent.
+    Unsent(String),
+    /// It may have been received.
+    Broken(String),
+}
+
+impl SendError {
+    /// Whether the request provably did not reach the other side.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent(_))
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent(why) => write!(f, "not sent: {why}"),
+            Self::Broken(why) => write!(f, "broke off: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
+/// Result of sending a request.
+pub type Result<T> = std::result::Result<T, SendError>;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Ends a connection's task when dropped.
+struct ConnectionTask(AbortHandle);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct OpenConnection {
+    sender: Sender,
+    _task: ConnectionTask,
+}
+
+struct IdleConnection {
+    connection: OpenConnection,
+    until: Instant,
+}
+
+/// Names a set of connections that are alike: where to, and to whom. An address that passes to
+/// another owner does not pass on its connections.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ConnectionKey {
+    /// Where to.
+    pub address: SocketAddr,
+    /// To whom.
+    pub owner: String,
+}
+
+/// The idle connections of a process.
+#[derive(Default)]
+pub struct ConnectionBook {
+    idle: Mutex<HashMap<ConnectionKey, Vec<IdleConnection>>>,
+}
+
+/// An answer whose head is there. Dropping it before its end closes the connection.
+pub struct OpenAnswer {
+    response: Response<Incoming>,
+    key: ConnectionKey,
+    connection: OpenConnection,
+    book: Arc<ConnectionBook>,
+}
+
+impl ConnectionBook {
+    /// A book without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and returns its answer as soon as the head is there. A kept connection
+    /// that turns out closed before anything was sent is replaced by a new one.
+    pub async fn send(
+        self: &Arc<Self>,
+        key: ConnectionKey,
+        request: Request<Full<Bytes>>,
+    ) -> Result<OpenAnswer> {
+        let mut request = request;
+        while let Some(mut connection) = self.take_idle(&key) {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(key, connection, response)),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Broken(e.error().to_string())),
+                },
+            }
+        }
+        let mut connection = open(key.address).await?;
+        metrics::counter!("connections_opened_total").increment(1);
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(key, connection, response)),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(SendError::Unsent(e.error().to_string())),
+                None => Err(SendError::Broken(e.error().to_string())),
+            },
+        }
+    }
+
+    /// Drops the idle connections to an owner.
+    pub fn forget(&self, owner: &str) {
+        let mut idle = self.idle.lock().expect("not poisoned");
+        idle.retain(|key, _| key.owner != owner);
+    }
+
+    /// Drops the idle connections that are too old or closed.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().expect("not poisoned");
+        idle.retain(|_, kept| {
+            kept.retain(|kept| now < kept.until && !kept.connection.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+
+    fn answer(
+        self: &Arc<Self>,
+        key: ConnectionKey,
+        connection: OpenConnection,
+        response: Response<Incoming>,
+    ) -> OpenAnswer {
+        OpenAnswer {
+            response,
+            key,
+            connection,
+            book: self.clone(),
+        }
+    }
+
+    fn take_idle(&self, key: &ConnectionKey) -> Option<OpenConnection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().expect("not poisoned");
+        let kept = idle.get_mut(key)?;
+        while let Some(candidate) = kept.pop() {
+            if now < candidate.until && candidate.connection.sender.is_ready() {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, key: ConnectionKey, connection: OpenConnection, idle_time: Duration) {
+        let until = Instant::now() + idle_time;
+        let mut idle = self.idle.lock().expect("not poisoned");
+        idle.entry(key)
+            .or_default()
+            .push(IdleConnection { connection, until });
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<OpenConnection> {
+    let unsent = |e: String| SendError::Unsent(e);
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
+        .await
+        .map_err(|_| unsent("no connection in time".to_owned()))?
+        .map_err(|e| unsent(e.to_string()))?;
+    socket::guard(&stream).map_err(|e| unsent(e.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(socket::BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| unsent(e.to_string()))?;
+    let task = tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!(
+                "event=connection_ended address={address} error={:?}",
+                e.to_string()
+            );
+        }
+    });
+    Ok(OpenConnection {
+        sender,
+        _task: ConnectionTask(task.abort_handle()),
+    })
+}
+
+impl OpenAnswer {
+    /// Status code.
+    pub fn status(&self) -> http::StatusCode {
+        self.response.status()
+    }
+
+    /// Headers.
+    pub fn headers(&self) -> &http::HeaderMap {
+        self.response.headers()
+    }
+
+    /// The next piece of the body; `None` at its end.
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            match self.response.body_mut().frame().await {
+                None => return Ok(None),
+                Some(Err(e)) => return Err(SendError::Broken(e.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The whole body, at most so many bytes; the connection is kept for the next request.
+    pub async fn read_all(mut self, most: usize) -> Result<Bytes> {
+        let mut whole = Vec::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            whole.extend_from_slice(&chunk);
+            if whole.len() > most {
+                return Err(SendError::Broken("the answer is too long".to_owned()));
+            }
+        }
+        self.finish();
+        Ok(whole.into())
+    }
+
+    /// Keeps the connection. To be called only after the end of the body.
+    pub fn finish(self) {
+        if let Some(idle_time) = kept_for(self.response.headers()) {
+            self.book.keep(self.key, self.connection, idle_time);
+        }
+    }
+}
+
+/// How long a connection may be kept after an answer with these headers.
+fn kept_for(headers: &http::HeaderMap) -> Option<Duration> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes =
+        text(http::header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    if closes {
+        return None;
+    }
+    let announced = text(http::HeaderName::from_static("keep-alive"));
+    let seconds = announced.and_then(|value| {
+        let timeout = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        timeout?.trim().parse::<u64>().ok()
+    });
+    match seconds {
+        Some(seconds) => Duration::from_secs(seconds).checked_sub(IDLE_MARGIN),
+        None => Some(DEFAULT_IDLE),
+    }
+}
--- /dev/null
+++ b/crates/serve/src/forward_run.rs
@@ -0,0 +1,246 @@
+//! One forwarded request: its attempts, until an upstream answers or it is given up.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_kernel::attempt_plan::{
+    AttemptBounds, AttemptCount, AttemptNext, FailureProof, after_failure,
+};
+use amaranth_kernel::placement::PlacementDemand;
+use amaranth_kernel::retry::RetryBudget;
+use amaranth_kernel::route_table::{RouteKind, RouteRule};
+use amaranth_net::telemetry::quote;
+use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
+use tokio::time::Instant;
+
+use crate::answer::GiveUp;
+use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
+use crate::call::UpstreamCodec;
+use crate::connection_book::OpenAnswer;
+use crate::upstream_pool::{PoolStep, UpstreamPlace, UpstreamPool};
+
+/// Waits for the head of a repeatable request's answer, in objectives: an upstream that is silent
+/// for longer than a queue within the objective explains is left for another one.
+const HEAD_OBJECTIVES: u32 = 3;
+/// Least of these waits: callers leave a stream that is silent for 2 s, so another upstream must
+/// have answered by then.
+const MIN_HEAD_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause that a caller is told when no upstream is known, in milliseconds: the time in which
+/// announcements are read.
+const NO_UPSTREAM_PAUSE_MS: u64 = 500;
+/// Pause that a caller is told after upstreams refused, in milliseconds: about a short answer.
+const REFUSED_PAUSE_MS: u64 = 300;
+
+/// What forwarding needs.
+pub struct ForwardPath {
+    /// The upstreams.
+    pub pool: Arc<UpstreamPool>,
+    /// How they are spoken to.
+    pub codec: UpstreamCodec,
+    budget: Mutex<RetryBudget>,
+}
+
+impl ForwardPath {
+    /// A path to these upstreams.
+    pub fn new(pool: Arc<UpstreamPool>, codec: UpstreamCodec) -> Self {
+        Self {
+            pool,
+            codec,
+            budget: Mutex::new(RetryBudget::new()),
+        }
+    }
+}
+
+/// One forwarded request.
+pub struct ForwardRun {
+    path: Arc<ForwardPath>,
+    route: Arc<RouteRule>,
+    group: UpstreamGroupId,
+    request: ForwardRequest,
+    started: Instant,
+    deadline: Instant,
+    count: AttemptCount,
+    excluded: Vec<UpstreamId>,
+}
+
+impl ForwardRun {
+    /// A request that was received at `started`.
+    pub fn new(
+        path: Arc<ForwardPath>,
+        route: Arc<RouteRule>,
+        group: UpstreamGroupId,
+        request: ForwardRequest,
+        started: Instant,
+        patience_ms: Option<u64>,
+    ) -> Self {
+        let limit_ms = patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        path.budget.lock().expect("not poisoned").add_request();
+        Self {
+            path,
+            group,
+            request,
+            started,
+            deadline: started + Duration::from_millis(limit_ms),
+            count: AttemptCount::default(),
+            excluded: Vec::new(),
+            route,
+        }
+    }
+
+    /// When the final answer is due.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// When the request was received.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Its route.
+    pub fn route(&self) -> &RouteRule {
+        &self.route
+    }
+
+    /// Attempts so far that may have run, and those that did not.
+    pub fn count(&self) -> AttemptCount {
+        self.count
+    }
+
+    /// Whether a broken answer can be followed by another attempt.
+    fn is_repeatable(&self) -> bool {
+        self.route.kind.is_repeatable()
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Attempts until an upstream answers. `resume_after` is the last event that the caller has.
+    pub async fn open(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<(OpenAnswer, UpstreamPlace), GiveUp> {
+        loop {
+            let place = self.choose(resume_after.is_some())?;
+            let limits = self.limits(resume_after);
+            let path = self.path.clone();
+            let step = attempt(&path.pool, &path.codec, place, &self.request, limits).await;
+            let (why, upstream, proof) = match step {
+                AttemptStep::Answer(answer, place) => {
+                    if self.retries_failure(&answer) {
+                        let why = format!("answered {}", answer.status().as_u16());
+                        (why, place.upstream.clone(), FailureProof::MayHaveRun)
+                    } else {
+                        return Ok((answer, place));
+                    }
+                }
+                AttemptStep::NotRun { why, upstream } => (why, upstream, FailureProof::NotRun),
+                AttemptStep::Broken { why, upstream } => (why, upstream, FailureProof::MayHaveRun),
+            };
+            self.note_failure(upstream, proof, &why)?;
+        }
+    }
+
+    /// Whether a failure that the upstream reports is worth another attempt.
+    fn retries_failure(&self, answer: &OpenAnswer) -> bool {
+        let attempts_left = self.count.may_have_run + 1 < self.route.max_attempts;
+        answer.status().is_server_error() && self.is_repeatable() && attempts_left
+    }
+
+    /// Notes that an attempt failed, and says whether another may follow.
+    pub fn note_failure(
+        &mut self,
+        upstream: UpstreamId,
+        proof: FailureProof,
+        why: &str,
+    ) -> Result<(), GiveUp> {
+        self.count.add(proof);
+        let bounds = AttemptBounds {
+            repeatable: self.is_repeatable(),
+            max_attempts: self.route.max_attempts,
+            remaining_ms: self.remaining().as_millis() as u64,
+        };
+        let mut budget = self.path.budget.lock().expect("not poisoned");
+        let next = after_failure(self.count, proof, bounds, &mut budget);
+        drop(budget);
+        log::info!(
+            "event=attempt_failed request={} upstream={upstream} proof={proof:?} why={} attempts={} remaining_ms={} next={next:?}",
+            self.request.id,
+            quote(why),
+            self.count.may_have_run + self.count.not_run,
+            bounds.remaining_ms,
+        );
+        self.excluded.push(upstream);
+        match next {
+            AttemptNext::Again => Ok(()),
+            AttemptNext::Late => Err(GiveUp::Late),
+            AttemptNext::Fail => Err(GiveUp::Failed(why.to_owned())),
+            AttemptNext::Refuse => Err(GiveUp::Refused {
+                retry_after_ms: REFUSED_PAUSE_MS,
+                why: why.to_owned(),
+            }),
+        }
+    }
+
+    fn choose(&self, resuming: bool) -> Result<UpstreamPlace, GiveUp> {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        // A request that has come so far is not refused: its work would be lost.
+        let left = match resuming || self.count != AttemptCount::default() {
+            true => self.remaining(),
+            false => objective.saturating_sub(self.started.elapsed()),
+        };
+        let demand = PlacementDemand::Online {
+            objective_ms: left.as_millis() as u64,
+        };
+        let step = self.path.pool.choose(&self.group, demand, &self.excluded);
+        let (retry_after_ms, why) = match step {
+            PoolStep::Send(place) => return Ok(place),
+            PoolStep::Refuse { retry_after_ms } => (retry_after_ms, "upstreams are full"),
+            PoolStep::NoUpstream => (NO_UPSTREAM_PAUSE_MS, "no upstream"),
+        };
+        match self.count.may_have_run > 0 {
+            true => Err(GiveUp::Failed(why.to_owned())),
+            false => Err(GiveUp::Refused {
+                retry_after_ms,
+                why: why.to_owned(),
+            }),
+        }
+    }
+
+    fn limits(&self, resume_after: Option<u64>) -> AttemptLimits {
+        let head_by = match self.is_repeatable() && self.may_attempt_again() {
+            true => (Instant::now() + self.silence_limit()).min(self.deadline),
+            false => self.deadline,
+        };
+        AttemptLimits {
+            head_by,
+            remaining: Some(self.remaining()),
+            resume_after,
+        }
+    }
+
+    fn may_attempt_again(&self) -> bool {
+        self.count.may_have_run + 1 < self.route.max_attempts
+    }
+
+    /// Longest silence of an upstream before another one is tried.
+    pub fn silence_limit(&self) -> Duration {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        (objective * HEAD_OBJECTIVES).max(MIN_HEAD_WAIT)
+    }
+
+    /// When a silent stream is left for another upstream.
+    pub fn silence_deadline(&self) -> Instant {
+        let resumable = matches!(self.route.kind, RouteKind::Stream { resumable: true });
+        match resumable && self.may_attempt_again() {
+            true => (Instant::now() + self.silence_limit()).min(self.deadline),
+            false => self.deadline,
+        }
+    }
+
+    /// Its id, for logs.
+    pub fn id(&self) -> &str {
+        self.request.id.as_str()
+    }
+}
--- /dev/null
+++ b/crates/serve/src/lib.rs
@@ -0,0 +1,20 @@
+//! Serves opaque requests and batch jobs by route: from a caller's call to an upstream's answer,
+//! between an adapter's codecs.
+
+pub mod answer;
+pub mod attempt;
+pub mod batch;
+pub mod call;
+pub mod connection_book;
+pub mod forward_run;
+pub mod gateway;
+pub mod listener;
+pub mod log_access;
+pub mod online;
+pub mod process;
+pub mod request_trace;
+pub mod route_state;
+pub mod socket;
+pub mod stream_relay;
+pub mod topic_follow;
+pub mod upstream_pool;
--- /dev/null
+++ b/crates/serve/src/log_access.rs
@@ -0,0 +1,126 @@
+//! The durable log as the serving core sees it. An adapter supplies the calls.
+
+use std::fmt;
+use std::time::Duration;
+
+use amaranth_wire::id::LogOffset;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+
+/// What a call on the log can fail with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LogError {
+    /// Provably nothing was done.
+    NotDone(String),
+    /// It may have been done, or may still be done later.
+    Unknown(String),
+    /// The entries that were asked for have been deleted.
+    Trimmed,
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotDone(why) => write!(f, "not done: {why}"),
+            Self::Unknown(why) => write!(f, "outcome unknown: {why}"),
+            Self::Trimmed => f.write_str("the entries are deleted"),
+        }
+    }
+}
+
+impl std::error::Error for LogError {}
+
+/// Result of a call on the log.
+pub type Result<T> = std::result::Result<T, LogError>;
+
+/// The topics that the serving core uses. Each keeps the newest entry of every key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LogTopic {
+    /// Configuration, written by operators.
+    Configuration,
+    /// Announcements of upstreams, written by these.
+    Upstreams,
+    /// Batch jobs and their results, written by the instances.
+    Batch,
+}
+
+impl fmt::Display for LogTopic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Configuration => "configuration",
+            Self::Upstreams => "upstreams",
+            Self::Batch => "batch",
+        })
+    }
+}
+
+/// One entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogEntry {
+    /// Its position.
+    pub offset: LogOffset,
+    /// Its key.
+    pub key: String,
+    /// Its content; `None` deletes the key.
+    pub value: Option<Bytes>,
+}
+
+/// Entries of a topic and where to go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSlice {
+    /// The entries in the order of their offsets.
+    pub entries: Vec<LogEntry>,
+    /// The offset after the last of them.
+    pub next: LogOffset,
+}
+
+/// An entry to append.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewEntry {
+    /// Its key.
+    pub key: String,
+    /// Its content; `None` deletes the key.
+    pub value: Option<Vec<u8>>,
+}
+
+/// This process as a member of the group that shares the work on batch jobs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupCall {
+    /// Name that no other process has.
+    pub member: String,
+    /// The generation that was received last; 0 at first.
+    pub generation: u64,
+    /// Time after which a silent member loses its shards.
+    pub ttl: Duration,
+}
+
+/// The shards that a member holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupShards {
+    /// Grows with every change of the group.
+    pub generation: u64,
+    /// Shards of this member.
+    pub shards: Vec<u64>,
+}
+
+type Call<A, T> = Box<dyn Fn(A) -> BoxFuture<'static, Result<T>> + Send + Sync>;
+
+/// The calls on the log.
+pub struct DurableLog {
+    /// Reads entries from an offset on; waits up to the given time for the first.
+    pub read: Call<(LogTopic, LogOffset, Duration), LogSlice>,
+    /// The newest entry of every key, and the offset to read on from.
+    pub newest: Call<LogTopic, LogSlice>,
+    /// Appends entries to the batch topic, all or none.
+    pub append: Call<Vec<NewEntry>, LogOffset>,
+    /// Joins the group or stays in it.
+    pub join: Call<GroupCall, GroupShards>,
+    /// Leaves the group.
+    pub leave: Call<String, ()>,
+    /// Number of shards that the group shares.
+    pub shard_count: u64,
+    /// Most bytes of the entries of one append.
+    pub append_bytes: usize,
+    /// Most bytes of one entry, its key included.
+    pub entry_bytes: usize,
+}
--- /dev/null
+++ b/crates/serve/src/process.rs
@@ -0,0 +1,366 @@
+//! Life of one instance: start, run, planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::route_table::RouteTable;
+use amaranth_kernel::upstream_registry::UpstreamNotice;
+use amaranth_net::telemetry;
+use amaranth_wire::id::{DataCentreId, InstanceId, UpstreamId};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::answer::plain;
+use crate::batch::board::JobBoard;
+use crate::batch::commit::BatchCommitter;
+use crate::batch::item_run::{ItemPath, RouteFinder};
+use crate::batch::shards::ShardHold;
+use crate::batch::worker::{BatchWorker, WorkerConfig};
+use crate::call::{CallerCodec, UpstreamCodec};
+use crate::forward_run::ForwardPath;
+use crate::gateway::Gateway;
+use crate::listener::{self, ConnectionLimits};
+use crate::log_access::{DurableLog, LogEntry, LogTopic};
+use crate::route_state::RouteState;
+use crate::topic_follow::{FollowStep, TopicFollower};
+use crate::upstream_pool::UpstreamPool;
+
+/// How long a leaving instance still accepts: the balancer asks once a second and takes an
+/// instance out after two misses.
+const NOTICE_PERIOD: Duration = Duration::from_millis(2_600);
+/// Kept back from the grace period, so that the process ends before it is killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Pace of reading upstreams' announcements. One that leaves must get no work 2 s later, and
+/// every read costs a call.
+const UPSTREAM_PACE: Duration = Duration::from_millis(400);
+/// Pace of reading batch entries: a result must be readable everywhere 1 s after it was read
+/// somewhere.
+const BATCH_PACE: Duration = Duration::from_millis(300);
+/// Time between two looks for connections that are kept too long.
+const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+/// Bounds before the configuration is known: those of an ordinary HTTP server.
+const FIRST_LIMITS: ConnectionLimits = ConnectionLimits {
+    head_bytes: 16 << 10,
+    head_wait: Duration::from_secs(15),
+};
+
+/// Result of running an instance.
+pub type Result<T> = std::io::Result<T>;
+
+/// What an instance is started with.
+#[derive(Debug, Clone)]
+pub struct ServeConfig {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready, and where metrics are read.
+    pub probes: SocketAddr,
+    /// Path of the balancer's question.
+    pub readiness_path: String,
+    /// Path of the metrics.
+    pub metrics_path: String,
+    /// Time between the request to stop and the kill.
+    pub grace: Duration,
+    /// How long a batch job is readable after its submission.
+    pub batch_retention: Duration,
+}
+
+/// How an adapter's protocol is read and written.
+#[derive(Clone, Copy)]
+pub struct ProtocolCodecs {
+    /// Callers.
+    pub caller: CallerCodec,
+    /// Upstreams.
+    pub upstream: UpstreamCodec,
+    /// Reads a configuration entry; `None` for keys that hold something else.
+    pub read_configuration: fn(&str, &[u8]) -> std::result::Result<Option<RouteTable>, String>,
+    /// Reads an upstream's announcement.
+    pub read_notice: fn(&str, &[u8]) -> std::result::Result<(UpstreamId, UpstreamNotice), String>,
+}
+
+/// Called when the process is told that its settings changed.
+pub type ReloadHook = Box<dyn Fn() + Send>;
+
+/// Runs an instance until it is told to stop.
+pub async fn run(
+    config: ServeConfig,
+    log: DurableLog,
+    codecs: ProtocolCodecs,
+    reload: ReloadHook,
+) -> Result<()> {
+    let started = Instant::now();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let callers = listener::bind(config.callers)?;
+    let probes = listener::bind(config.probes)?;
+    log::info!(
+        "event=start instance={} data_centre={} version={}",
+        config.instance,
+        config.data_centre,
+        env!("CARGO_PKG_VERSION")
+    );
+    let work = CancellationToken::new();
+    let accept = CancellationToken::new();
+    let connections = TaskTracker::new();
+    let background = TaskTracker::new();
+    let gateway = build(&config, Arc::new(log), codecs, &work, &background);
+
+    let answering = gateway.clone();
+    let limits = gateway.clone();
+    tokio::spawn(listener::serve(
+        callers,
+        move || connection_limits(&limits),
+        move |call| {
+            let gateway = answering.clone();
+            async move { gateway.answer(call).await }
+        },
+        connections.clone(),
+        accept.clone(),
+    ));
+    tokio::spawn(serve_probes(
+        probes,
+        gateway.clone(),
+        config.clone(),
+        work.clone(),
+    ));
+    tokio::spawn(sweep(gateway.forward.pool.clone()));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(),
+        }
+    }
+    log::info!(
+        "event=stop instance={} ran_s={}",
+        config.instance,
+        started.elapsed().as_secs()
+    );
+    stop(&config, &gateway, work, accept, connections, background).await;
+    Ok(())
+}
+
+async fn stop(
+    config: &ServeConfig,
+    gateway: &Gateway,
+    work: CancellationToken,
+    accept: CancellationToken,
+    connections: TaskTracker,
+    background: TaskTracker,
+) {
+    let asked = Instant::now();
+    gateway.set_leaving();
+    sleep(NOTICE_PERIOD).await;
+    accept.cancel();
+    connections.close();
+    let left = config.grace.saturating_sub(asked.elapsed() + GRACE_MARGIN);
+    if timeout(left, connections.wait()).await.is_err() {
+        log::error!("event=grace_over connections={}", connections.len());
+    }
+    work.cancel();
+    background.close();
+    if timeout(GRACE_MARGIN / 2, background.wait()).await.is_err() {
+        log::warn!("event=background_cut tasks={}", background.len());
+    }
+    log::info!(
+        "event=stopped instance={} ms={}",
+        config.instance,
+        asked.elapsed().as_millis()
+    );
+}
+
+fn build(
+    config: &ServeConfig,
+    log: Arc<DurableLog>,
+    codecs: ProtocolCodecs,
+    work: &CancellationToken,
+    background: &TaskTracker,
+) -> Arc<Gateway> {
+    let routes = Arc::new(RouteState::new());
+    let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
+    let board = Arc::new(JobBoard::new());
+    let committer = BatchCommitter::new(log.clone(), work.clone());
+    let member = format!("{}.{:08x}", config.instance, rand::random::<u32>());
+    let shards = Arc::new(ShardHold::new(member, log.shard_count));
+    let followers = [
+        follow_configuration(routes.clone(), codecs),
+        follow_upstreams(pool.clone(), codecs),
+        follow_batch(board.clone()),
+    ];
+    for follower in followers {
+        background.spawn(follower.run(log.clone(), work.clone()));
+    }
+    background.spawn(shards.clone().run(log.clone(), work.clone()));
+    let path = ItemPath {
+        pool: pool.clone(),
+        codec: codecs.upstream,
+    };
+    let worker_config = WorkerConfig {
+        find_route: route_finders(routes.clone()),
+        retention: config.batch_retention,
+    };
+    let worker = BatchWorker::new(
+        board.clone(),
+        shards,
+        committer.clone(),
+        Arc::new(path),
+        worker_config,
+    );
+    background.spawn(worker.run(work.clone()));
+    let forward = Arc::new(ForwardPath::new(pool, codecs.upstream));
+    Arc::new(Gateway::new(
+        routes,
+        forward,
+        board,
+        committer,
+        log,
+        codecs.caller,
+    ))
+}
+
+fn route_finders(routes: Arc<RouteState>) -> Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync> {
+    Arc::new(move |host, path| {
+        let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
+        Arc::new(move || routes.find(&host, &path))
+    })
+}
+
+fn follow_configuration(routes: Arc<RouteState>, codecs: ProtocolCodecs) -> TopicFollower {
+    let apply = move |step, _| {
+        let (FollowStep::Replace(entries) | FollowStep::Append(entries)) = step;
+        for LogEntry { key, value, offset } in entries {
+            let Some(value) = value else { continue };
+            match (codecs.read_configuration)(&key, &value) {
+                Ok(Some(table)) => {
+                    routes.offer(table, "log");
+                }
+                Ok(None) => {}
+                Err(e) => log::warn!(
+                    "event=record_malformed topic=configuration key={key:?} offset={offset} error={e:?}"
+                ),
+            }
+        }
+    };
+    TopicFollower {
+        topic: LogTopic::Configuration,
+        pace: Duration::ZERO,
+        hurry: Arc::new(Notify::new()),
+        apply: Box::new(apply),
+    }
+}
+
+fn follow_upstreams(pool: Arc<UpstreamPool>, codecs: ProtocolCodecs) -> TopicFollower {
+    let apply = move |step, _| {
+        let (entries, replaces) = match step {
+            FollowStep::Replace(entries) => (entries, true),
+            FollowStep::Append(entries) => (entries, false),
+        };
+        let mut present = Vec::new();
+        for entry in entries {
+            if let Some(upstream) = apply_notice(&pool, codecs, entry) {
+                present.push(upstream);
+            }
+        }
+        if replaces {
+            pool.retain(&present);
+        }
+    };
+    TopicFollower {
+        topic: LogTopic::Upstreams,
+        pace: UPSTREAM_PACE,
+        hurry: Arc::new(Notify::new()),
+        apply: Box::new(apply),
+    }
+}
+
+/// Takes in an entry; returns the upstream that it announces.
+fn apply_notice(
+    pool: &UpstreamPool,
+    codecs: ProtocolCodecs,
+    entry: LogEntry,
+) -> Option<UpstreamId> {
+    let LogEntry { key, value, offset } = entry;
+    let Some(value) = value else {
+        match key.parse() {
+            Ok(upstream) => pool.remove(&upstream),
+            Err(e) => log::warn!(
+                "event=record_malformed topic=upstreams key={key:?} offset={offset} error={:?}",
+                e.to_string()
+            ),
+        }
+        return None;
+    };
+    match (codecs.read_notice)(&key, &value) {
+        Ok((upstream, notice)) => {
+            pool.announce(upstream.clone(), notice);
+            Some(upstream)
+        }
+        Err(e) => {
+            log::warn!(
+                "event=record_malformed topic=upstreams key={key:?} offset={offset} error={e:?}"
+            );
+            if let Ok(upstream) = key.parse() {
+                pool.remove(&upstream);
+            }
+            None
+        }
+    }
+}
+
+fn follow_batch(board: Arc<JobBoard>) -> TopicFollower {
+    TopicFollower {
+        topic: LogTopic::Batch,
+        pace: BATCH_PACE,
+        hurry: Arc::new(Notify::new()),
+        apply: Box::new(move |step, sent| board.apply(step, None, sent)),
+    }
+}
+
+fn connection_limits(gateway: &Gateway) -> ConnectionLimits {
+    match gateway.routes.current() {
+        None => FIRST_LIMITS,
+        Some(table) => ConnectionLimits {
+            head_bytes: table.limits.header_bytes,
+            head_wait: Duration::from_millis(table.limits.idle_ms.max(table.limits.header_ms)),
+        },
+    }
+}
+
+async fn serve_probes(
+    listener: tokio::net::TcpListener,
+    gateway: Arc<Gateway>,
+    config: ServeConfig,
+    stop: CancellationToken,
+) {
+    let config = Arc::new(config);
+    let answer = move |call: http::Request<hyper::body::Incoming>| {
+        let (gateway, config) = (gateway.clone(), config.clone());
+        async move {
+            let path = call.uri().path();
+            if path == config.readiness_path {
+                gateway.readiness()
+            } else if path == config.metrics_path {
+                plain(http::StatusCode::OK, telemetry::render_metrics())
+            } else {
+                plain(http::StatusCode::NOT_FOUND, "")
+            }
+        }
+    };
+    listener::serve(listener, || FIRST_LIMITS, answer, TaskTracker::new(), stop).await;
+}
+
+async fn sweep(pool: Arc<UpstreamPool>) {
+    loop {
+        sleep(SWEEP_PERIOD).await;
+        pool.book.sweep();
+    }
+}
--- /dev/null
+++ b/crates/serve/src/request_trace.rs
@@ -0,0 +1,94 @@
+//! The log line and the figures of one request.
+
+use amaranth_kernel::attempt_plan::AttemptCount;
+use amaranth_net::telemetry::quote;
+use amaranth_wire::id::{ConfigRevision, RequestId};
+use tokio::time::Instant;
+
+/// What is told of a request when it ends, also when its caller leaves.
+#[derive(Debug)]
+pub struct RequestTrace {
+    id: RequestId,
+    route: String,
+    revision: ConfigRevision,
+    started: Instant,
+    upstream: String,
+    load: f64,
+    first_event_ms: Option<u64>,
+    ended: bool,
+}
+
+impl RequestTrace {
+    /// A request that was received now.
+    pub fn new(id: RequestId, route: &str, revision: ConfigRevision) -> Self {
+        Self {
+            id,
+            route: route.to_owned(),
+            revision,
+            started: Instant::now(),
+            upstream: String::from("none"),
+            load: 0.0,
+            first_event_ms: None,
+            ended: false,
+        }
+    }
+
+    /// When it was received.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Notes which upstream answers, and its estimated load when it was chosen.
+    pub fn answered(&mut self, upstream: &str, load: f64) {
+        self.upstream = upstream.to_owned();
+        self.load = load;
+    }
+
+    /// Notes the first event.
+    pub fn first_event(&mut self) {
+        if self.first_event_ms.is_none() {
+            let elapsed = self.started.elapsed();
+            self.first_event_ms = Some(elapsed.as_millis() as u64);
+            metrics::histogram!("first_event_seconds").record(elapsed.as_secs_f64());
+        }
+    }
+
+    /// Notes that the stream goes on at another upstream.
+    pub fn resumed(&mut self, upstream: &str, after: Option<u64>) {
+        log::info!(
+            "event=stream_resumed request={} upstream={upstream} after={after:?}",
+            self.id
+        );
+        self.upstream = upstream.to_owned();
+    }
+
+    /// Writes the line.
+    pub fn end(&mut self, outcome: &'static str, why: &str, count: AttemptCount) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let elapsed = self.started.elapsed();
+        metrics::counter!("requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("request_seconds").record(elapsed.as_secs_f64());
+        log::info!(
+            "event=request_ended request={} route={} revision={} upstream={} load={:.1} outcome={outcome} why={} failed_attempts={} refused_attempts={} first_event_ms={} ms={}",
+            self.id,
+            self.route,
+            self.revision,
+            self.upstream,
+            self.load,
+            quote(why),
+            count.may_have_run,
+            count.not_run,
+            self.first_event_ms.map_or(-1, |ms| ms as i64),
+            elapsed.as_millis(),
+        );
+    }
+}
+
+impl Drop for RequestTrace {
+    fn drop(&mut self) {
+        self.end("caller_left", "", AttemptCount::default());
+    }
+}
--- /dev/null
+++ b/crates/serve/src/route_state.rs
@@ -0,0 +1,51 @@
+//! The configuration in force. It never goes back within a process.
+
+use std::sync::{Arc, RwLock};
+
+use amaranth_kernel::route_table::{RouteRule, RouteTable};
+use amaranth_wire::id::ConfigRevision;
+
+/// The newest configuration that this process has seen.
+#[derive(Debug, Default)]
+pub struct RouteState {
+    table: RwLock<Option<Arc<RouteTable>>>,
+}
+
+impl RouteState {
+    /// No configuration yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The table in force.
+    pub fn current(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().expect("not poisoned").clone()
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Option<ConfigRevision> {
+        self.current().map(|table| table.revision)
+    }
+
+    /// Puts a table in force unless a newer one is. Returns whether it did.
+    pub fn offer(&self, table: RouteTable, source: &str) -> bool {
+        let mut current = self.table.write().expect("not poisoned");
+        let before = current.as_ref().map(|table| table.revision);
+        if before.is_some_and(|known| known >= table.revision) {
+            return false;
+        }
+        log::info!(
+            "event=configuration_in_force revision={} before={} routes={} source={source}",
+            table.revision,
+            before.map_or_else(|| "none".to_owned(), |revision| revision.to_string()),
+            table.len(),
+        );
+        *current = Some(Arc::new(table));
+        true
+    }
+
+    /// The route of a host and path.
+    pub fn find(&self, host: &str, path: &str) -> Option<Arc<RouteRule>> {
+        self.current()?.find(host, path).cloned()
+    }
+}
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -143,6 +143,10 @@
     /// Names an upstream: one model engine or plain service.
     UpstreamId
 );
+text_id!(
+    /// Names a group of upstreams that are alike: one model or service.
+    UpstreamGroupId
+);
 text_id!(
     /// Names a model.
     ModelId
@@ -151,6 +155,10 @@
     /// Names a batch job. The same for every instance that receives the same keyed submission.
     JobId
 );
+text_id!(
+    /// Names an item of a batch job.
+    ItemId
+);
 text_id!(
     /// Names a file: the input that a batch job was made from, or its results.
     FileId
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by every amaranthford process: identifiers, units, error kinds, log records and
 //! the messages between processes. No I/O.
 
+pub mod batch_entry;
 pub mod batch_slots;
 pub mod change;
 pub mod engine;
