Fade stale load reports; batch items give way by each instance's own online load

Ruled out: shards (dealt evenly), the log (results were read back). Change: reports lose weight with age; permits for batch items follow an equal share of the places less the instance's own online peak. Left: too few items run at once.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission_queue;
 pub mod attempt_plan;
 pub mod batch_room;
+pub mod batch_share;
 pub mod bitmap;
 pub mod change_state;
 pub mod commit;
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -11,9 +11,12 @@
 use crate::ejection::{self, UpstreamHealth};
 use crate::routing::DecisionRng;
 
-/// Time after which the part of a report that other instances caused has faded to the mean of the
-/// group, in milliseconds: about twice the length of a short stream.
+/// Time in which a report of other instances' requests loses two thirds of its weight, in
+/// milliseconds: about the length of a short stream.
 const REPORT_FADE_MS: f64 = 1_000.0;
+/// Weight of the assumption that there are no other requests, against one fresh report: it takes
+/// over when all reports are seconds old, since what they counted has ended.
+const IDLE_WEIGHT: f64 = 0.05;
 /// Weight of the newest sample in moving averages: the mean of about the last ten.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Service time that is assumed before one was measured, in milliseconds.
@@ -26,7 +29,7 @@
 /// not all choose the same upstream.
 const EQUAL_COST: f64 = 0.08;
 /// Share of an upstream's places that batch items may bring it to.
-const BATCH_SHARE: f64 = 0.75;
+const BATCH_SHARE: f64 = 0.9;
 
 /// What this instance knows of one upstream's load.
 #[derive(Debug, Clone, Default)]
@@ -54,15 +57,28 @@
         self.service_ms = Some(average(self.service_ms, took_ms));
     }
 
+    /// Weight of the last report; 1 when it is fresh.
+    fn report_weight(&self, now_ms: u64) -> f64 {
+        self.reported_ms.map_or(0.0, |reported_ms| {
+            (-(now_ms.saturating_sub(reported_ms) as f64) / REPORT_FADE_MS).exp()
+        })
+    }
+
+    /// Requests of other instances, by the last report and the mean of the group.
     fn others(&self, mean: f64, now_ms: u64) -> f64 {
-        let Some(reported_ms) = self.reported_ms else {
-            return mean;
-        };
-        let faded = (now_ms.saturating_sub(reported_ms) as f64 / REPORT_FADE_MS).min(1.0);
-        self.others * (1.0 - faded) + mean * faded
+        let weight = self.report_weight(now_ms);
+        self.others * weight + mean * (1.0 - weight)
     }
 }
 
+/// Mean number of other instances' requests at an upstream, by the freshness of the reports.
+fn mean_others(candidates: &[PlacementCandidate<'_>], now_ms: u64) -> f64 {
+    let tracks = || candidates.iter().map(|candidate| candidate.track);
+    let weights: f64 = tracks().map(|track| track.report_weight(now_ms)).sum();
+    let sum: f64 = tracks().map(|track| track.others * track.report_weight(now_ms)).sum();
+    sum / (weights + IDLE_WEIGHT)
+}
+
 fn average(known: Option<f64>, sample: f64) -> f64 {
     known.map_or(sample, |known| known + (sample - known) * SAMPLE_WEIGHT)
 }
@@ -161,9 +177,7 @@
 fn cost_rows(candidates: &[PlacementCandidate<'_>], now_ms: u64) -> Vec<CostRow> {
     let healths: Vec<_> = candidates.iter().map(|c| c.track.health).collect();
     let available = ejection::available(&healths, now_ms);
-    let reported = candidates.iter().filter(|c| c.track.reported_ms.is_some());
-    let sum: f64 = reported.clone().map(|c| c.track.others).sum();
-    let mean = sum / reported.count().max(1) as f64;
+    let mean = mean_others(candidates, now_ms);
     let group_ms = group_service_ms(candidates);
     let rows = candidates.iter().enumerate().zip(available);
     let rows = rows.filter(|(_, available)| *available);
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -15,6 +15,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::batch::room::BatchRoom;
 use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
@@ -35,6 +36,8 @@
     pub pool: Arc<UpstreamPool>,
     /// How they are spoken to.
     pub codec: UpstreamCodec,
+    /// Room beside online requests.
+    pub room: Arc<BatchRoom>,
 }
 
 /// One item that runs.
@@ -105,11 +108,17 @@
         let Some(group) = route.group(rand::rng().random()) else {
             return ItemStep::Wait;
         };
+        let permit = self.path.room.acquire(group).await;
         let place = match self.path.pool.choose(group, PlacementDemand::Batch, &[]) {
             PoolStep::Send(place) => place,
             PoolStep::Refuse { .. } | PoolStep::NoUpstream => return ItemStep::Wait,
         };
-        self.attempt(place, &route).await
+        let revoked = permit.revoked.clone();
+        match revoked.run_until_cancelled(self.attempt(place, &route)).await {
+            Some(step) => step,
+            // The attempt's connection is closed; what it brought is kept.
+            None => ItemStep::Again,
+        }
     }
 
     fn is_given_up(&self, route: &RouteRule) -> bool {
--- a/crates/serve/src/batch/mod.rs
+++ b/crates/serve/src/batch/mod.rs
@@ -7,5 +7,6 @@
 pub mod item_run;
 pub mod pieces;
 pub mod reading;
+pub mod room;
 pub mod shards;
 pub mod worker;
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -5,6 +5,7 @@
 //! a while are harmless, since the first end on the log counts.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 pub struct ShardHold {
     held: Mutex<HashMap<u64, Instant>>,
     generation: Mutex<u64>,
+    members: AtomicU32,
     member: String,
     shard_count: u64,
 }
@@ -37,6 +39,7 @@
         Self {
             held: Mutex::default(),
             generation: Mutex::default(),
+            members: AtomicU32::new(1),
             member,
             shard_count: shard_count.max(1),
         }
@@ -63,6 +66,11 @@
         self.len() == 0
     }
 
+    /// Number of instances that share the work.
+    pub fn members(&self) -> u32 {
+        self.members.load(Ordering::Relaxed)
+    }
+
     /// Stays in the group until the token is cancelled, then leaves it.
     pub async fn run(self: Arc<Self>, log: Arc<DurableLog>, stop: CancellationToken) {
         while !stop.is_cancelled() {
@@ -87,7 +95,12 @@
             ttl: MEMBER_TTL,
         };
         match (log.join)(call).await {
-            Ok(shards) => self.take(shards),
+            Ok(shards) => {
+                let dealt = self.take(shards);
+                if dealt {
+                    self.count_members(log).await;
+                }
+            }
             Err(e) => log::debug!(
                 "event=group_join_failed member={} error={:?}",
                 self.member,
@@ -96,7 +109,15 @@
         }
     }
 
-    fn take(&self, shards: GroupShards) {
+    async fn count_members(&self, log: &DurableLog) {
+        match (log.members)(()).await {
+            Ok(members) => self.members.store(members.max(1), Ordering::Relaxed),
+            Err(e) => log::info!("event=members_not_counted error={:?}", e.to_string()),
+        }
+    }
+
+    /// Takes over what was dealt; returns whether that differs from before.
+    fn take(&self, shards: GroupShards) -> bool {
         let mut held = self.held.lock().expect("not poisoned");
         let before = held.len();
         held.retain(|shard, _| shards.shards.contains(shard));
@@ -105,7 +126,8 @@
             held.entry(*shard).or_insert_with(Instant::now);
         }
         let mut generation = self.generation.lock().expect("not poisoned");
-        if *generation != shards.generation {
+        let dealt = *generation != shards.generation;
+        if dealt {
             log::info!(
                 "event=shards_dealt member={} generation={} held={} lost={lost} gained={}",
                 self.member,
@@ -115,5 +137,6 @@
             );
         }
         *generation = shards.generation;
+        dealt
     }
 }
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -18,6 +18,7 @@
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::item_run::{ItemPath, RouteFinder};
+use crate::batch::room::BatchRoom;
 use crate::batch::shards::ShardHold;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
 use crate::call::{CallerCodec, UpstreamCodec};
@@ -200,9 +201,12 @@
         background.spawn(follower.run(log.clone(), work.clone()));
     }
     background.spawn(shards.clone().run(log.clone(), work.clone()));
+    let room = Arc::new(BatchRoom::new(pool.clone(), shards.clone()));
+    background.spawn(room.clone().run(work.clone()));
     let path = ItemPath {
         pool: pool.clone(),
         codec: codecs.upstream,
+        room,
     };
     let worker_config = WorkerConfig {
         find_route: route_finders(routes.clone()),
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -10,6 +10,8 @@
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
 
+use tokio::sync::Notify;
+
 use crate::call::LoadReport;
 use crate::connection_book::{ConnectionBook, ConnectionKey};
 
@@ -20,6 +22,16 @@
     data_centre: DataCentreId,
     registry: RwLock<UpstreamRegistry>,
     tracks: Mutex<HashMap<UpstreamId, LoadTrack>>,
+    online_started: Notify,
+}
+
+/// Load of one group by this instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GroupLoad {
+    /// Places of its upstreams.
+    pub slots: u32,
+    /// Online requests of this instance.
+    pub online: u32,
 }
 
 /// A place at an upstream, held until dropped.
@@ -55,7 +67,29 @@
             data_centre,
             registry: RwLock::new(UpstreamRegistry::new()),
             tracks: Mutex::new(HashMap::new()),
+            online_started: Notify::new(),
+        }
+    }
+
+    /// Waits until an online request is sent.
+    pub async fn online_started(&self) {
+        self.online_started.notified().await;
+    }
+
+    /// The load of a group.
+    pub fn group_load(&self, group: &UpstreamGroupId) -> GroupLoad {
+        let registry = self.registry.read().expect("not poisoned");
+        let tracks = self.tracks.lock().expect("not poisoned");
+        let mut load = GroupLoad::default();
+        let members = registry.iter().filter(|(_, notice)| notice.group == *group);
+        for (upstream, notice) in members {
+            let track = tracks.get(upstream);
+            load.online += track.map_or(0, |track| track.own - track.own_batch);
+            if !notice.leaving {
+                load.slots += notice.slots;
+            }
         }
+        load
     }
 
     /// Takes in an announcement.
@@ -153,6 +187,9 @@
                 track.own += 1;
                 track.own_batch += u32::from(batch);
                 track.health.start(now_ms);
+                if !batch {
+                    self.online_started.notify_waiters();
+                }
                 PoolStep::Send(UpstreamPlace {
                     upstream: upstream.clone(),
                     key: ConnectionKey {
