Spread the items of a job over all instances; smooth the online level

Cause: a job's items all ran at the owner of its shard, whose allowance is only its own share, and a held peak overstated the online load. Change: items, not jobs, fall into shards; the level rises and falls by time constants.

--- a/crates/serve/src/batch/room.rs
+++ b/crates/serve/src/batch/room.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranth_kernel::batch_share::{OnlinePeak, batch_allowance};
+use amaranth_kernel::batch_share::{OnlineLevel, batch_allowance};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::UpstreamGroupId;
 use tokio::sync::Notify;
@@ -14,8 +14,8 @@
 use crate::batch::shards::ShardHold;
 use crate::upstream_pool::UpstreamPool;
 
-/// Time between two looks at the room while nothing happens: a peak fades in steps of about a
-/// tenth in it.
+/// Time between two looks at the room while nothing happens: the level falls by about a sixth
+/// in it.
 const LOOK_PERIOD: Duration = Duration::from_millis(150);
 
 /// Hands out permits.
@@ -29,7 +29,7 @@
 
 #[derive(Default)]
 struct GroupRoom {
-    peak: OnlinePeak,
+    level: OnlineLevel,
     /// In the order in which they were handed out.
     permits: Vec<(u64, CancellationToken)>,
     next_permit: u64,
@@ -62,7 +62,7 @@
             if let Some(permit) = self.try_acquire(group) {
                 return permit;
             }
-            // Room also grows when the peak fades, which nothing tells.
+            // Room also grows when the level falls, which nothing tells.
             let _ = timeout(LOOK_PERIOD, self.freed.notified()).await;
         }
     }
@@ -70,7 +70,7 @@
     fn try_acquire(self: &Arc<Self>, group: &UpstreamGroupId) -> Option<RoomPermit> {
         let mut groups = self.groups.lock().expect("not poisoned");
         let room = groups.entry(group.clone()).or_default();
-        let allowance = self.allowance(group, &mut room.peak);
+        let allowance = self.allowance(group, &mut room.level);
         if room.permits.len() >= allowance as usize {
             return None;
         }
@@ -86,9 +86,9 @@
         })
     }
 
-    fn allowance(&self, group: &UpstreamGroupId, peak: &mut OnlinePeak) -> u32 {
+    fn allowance(&self, group: &UpstreamGroupId, level: &mut OnlineLevel) -> u32 {
         let load = self.pool.group_load(group);
-        let level = peak.note(load.online, steady_ms());
+        let level = level.note(load.online, steady_ms());
         batch_allowance(load.slots, self.shards.members(), level, self.dither)
     }
 
@@ -107,7 +107,7 @@
     fn revoke(&self) {
         let mut groups = self.groups.lock().expect("not poisoned");
         for (group, room) in groups.iter_mut() {
-            let allowance = self.allowance(group, &mut room.peak) as usize;
+            let allowance = self.allowance(group, &mut room.level) as usize;
             for (number, revoked) in room.permits.iter().skip(allowance) {
                 if !revoked.is_cancelled() {
                     log::debug!("event=item_gives_way group={group} permit={number} allowance={allowance}");
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -1,4 +1,4 @@
-//! Which jobs this instance runs. Jobs fall into shards; the platform's group deals the shards
+//! Which items this instance runs. Items fall into shards; the platform's group deals the shards
 //! out to the members that are heard from.
 //!
 //! Ownership saves work, it does not guard correctness: two instances that run the same item for
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use amaranth_kernel::hashing::hash_bytes;
-use amaranth_wire::id::JobId;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -45,10 +44,10 @@
         }
     }
 
-    /// Whether items of a job may be started here. A job that was submitted before its shard
+    /// Whether the work with this name may be started here. Work that was known before its shard
     /// came here may still be running elsewhere for a moment.
-    pub fn may_run(&self, job: &JobId, known_for: Duration) -> bool {
-        let shard = hash_bytes(job.as_str().as_bytes(), 0) % self.shard_count;
+    pub fn may_run(&self, name: &str, known_for: Duration) -> bool {
+        let shard = hash_bytes(name.as_bytes(), 0) % self.shard_count;
         let held = self.held.lock().expect("not poisoned");
         held.get(&shard).is_some_and(|since| {
             let held_for = since.elapsed();
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -1,4 +1,4 @@
-//! Runs the items of the jobs that this instance owns, and deletes jobs that are kept no longer.
+//! Runs the items that this instance owns, and deletes jobs that are kept no longer.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
@@ -123,21 +123,17 @@
             let open = book
                 .jobs()
                 .filter(|(_, job)| !job.is_ended() && !job.is_complete());
-            let owned = open.filter_map(|(id, job)| {
-                let submission = job.submission()?;
+            let submitted = open.filter_map(|(id, job)| Some((id, job, job.submission()?)));
+            let mut submitted: Vec<_> = submitted.collect();
+            submitted.sort_by_key(|(_, _, submission)| submission.received_ms);
+            let items = submitted.into_iter().flat_map(|(id, job, submission)| {
+                let runs = running.get(id);
                 let known_for =
                     Duration::from_millis(now_ms.saturating_sub(submission.received_ms));
-                self.shards
-                    .may_run(id, known_for)
-                    .then_some((id, job, submission))
-            });
-            let mut owned: Vec<_> = owned.collect();
-            owned.sort_by_key(|(_, _, submission)| submission.received_ms);
-            let items = owned.into_iter().flat_map(|(id, job, submission)| {
-                let runs = running.get(id);
                 let waiting = submission.items.iter().filter(move |item| {
                     !job.is_item_done(&item.id)
                         && !runs.is_some_and(|runs| runs.items.contains(&item.id))
+                        && self.shards.may_run(item.id.as_str(), known_for)
                 });
                 waiting.map(move |item| StartItem {
                     job: id.clone(),
@@ -191,7 +187,7 @@
                     .map_or(now_ms, |submission| submission.received_ms);
                 let age_ms = now_ms.saturating_sub(received_ms);
                 let open = !job.is_ended() && !job.is_complete();
-                !open && age_ms > retention_ms && self.shards.may_run(id, Duration::MAX)
+                !open && age_ms > retention_ms && self.shards.may_run(id.as_str(), Duration::MAX)
             });
             old.map(|(id, _)| id.clone()).next()
         });
