One instance hands out the places of a group, asked by datagram

Cause: instances placed by themselves on load reports that are seconds old; at 80 % of the slots some upstreams queued while others had room (p50 of a first event 0.5 s in bursts, 12 % late), and batch items held places that online requests needed. Ruled out: speeds, prompts, the connection count. Change: a desk for each group, the largest member by rendezvous, counts what all members have in flight (soft state, told twice), answers each question within a round trip, and has batch items give way; where it is silent for 12 ms an instance places by itself as before.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod admission_queue;
 pub mod attempt_plan;
 pub mod batch_room;
-pub mod batch_share;
 pub mod bitmap;
 pub mod change_state;
 pub mod commit;
@@ -23,6 +22,7 @@
 pub mod log_clock;
 pub mod log_source;
 pub mod membership;
+pub mod place_desk;
 pub mod placement;
 pub mod plan_state;
 pub mod plugin;
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -1,4 +1,5 @@
-//! Where an opaque request goes, or when it is refused.
+//! Where an opaque request goes, or when it is refused, by what one instance knows itself: the
+//! way while nobody who knows more answers.
 //!
 //! The load this answers: arrivals that step between 0.4 and 1.9 times the mean within a second,
 //! many instances that place independently on reports of the upstreams that are up to a few
@@ -6,6 +7,7 @@
 //! common queue of all instances, so a request is sent while the wait there still leaves it its
 //! objective, and refused at once when it does not.
 
+use amaranth_wire::place_message::PlaceDemand;
 use rand::RngExt;
 
 use crate::ejection::{self, UpstreamHealth};
@@ -29,7 +31,7 @@
 /// not all choose the same upstream.
 const EQUAL_COST: f64 = 0.08;
 /// Share of an upstream's places that batch items may bring it to.
-const BATCH_SHARE: f64 = 0.9;
+const BATCH_SHARE: f64 = 0.75;
 
 /// What this instance knows of one upstream's load.
 #[derive(Debug, Clone, Default)]
@@ -57,6 +59,11 @@
         self.service_ms = Some(average(self.service_ms, took_ms));
     }
 
+    /// Time that a usual request takes there, in milliseconds.
+    pub fn service_ms(&self) -> Option<f64> {
+        self.service_ms
+    }
+
     /// Weight of the last report; 1 when it is fresh.
     fn report_weight(&self, now_ms: u64) -> f64 {
         self.reported_ms.map_or(0.0, |reported_ms| {
@@ -75,7 +82,9 @@
 fn mean_others(candidates: &[PlacementCandidate<'_>], now_ms: u64) -> f64 {
     let tracks = || candidates.iter().map(|candidate| candidate.track);
     let weights: f64 = tracks().map(|track| track.report_weight(now_ms)).sum();
-    let sum: f64 = tracks().map(|track| track.others * track.report_weight(now_ms)).sum();
+    let sum: f64 = tracks()
+        .map(|track| track.others * track.report_weight(now_ms))
+        .sum();
     sum / (weights + IDLE_WEIGHT)
 }
 
@@ -94,18 +103,6 @@
     pub track: &'a LoadTrack,
 }
 
-/// What is to be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlacementDemand {
-    /// A request whose first event or answer is due after so many milliseconds.
-    Online {
-        /// What is left of its objective, in milliseconds.
-        objective_ms: u64,
-    },
-    /// A batch item, which can wait.
-    Batch,
-}
-
 /// Where a request goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PlacementStep {
@@ -135,7 +132,7 @@
 /// Chooses among the candidates. Those that failed lately are left out while others remain.
 pub fn place(
     candidates: &[PlacementCandidate<'_>],
-    demand: PlacementDemand,
+    demand: PlaceDemand,
     now_ms: u64,
     rng: DecisionRng<'_>,
 ) -> PlacementStep {
@@ -153,8 +150,8 @@
     let chosen = equal[rng.random_range(0..equal.len())];
     let slots = f64::from(candidates[chosen.index].slots.max(1));
     let allowed = match demand {
-        PlacementDemand::Online { objective_ms } => chosen.wait_ms <= objective_ms as f64,
-        PlacementDemand::Batch => chosen.load + 1.0 <= (slots * BATCH_SHARE).max(1.0),
+        PlaceDemand::Online { objective_ms } => chosen.wait_ms <= objective_ms as f64,
+        PlaceDemand::Batch => chosen.load + 1.0 <= (slots * BATCH_SHARE).max(1.0),
     };
     match allowed {
         true => PlacementStep::Send {
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -4,40 +4,41 @@
 use std::time::Duration;
 
 use amaranth_kernel::event_framing::EventFraming;
-use amaranth_kernel::placement::PlacementDemand;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{ItemEnd, SubmittedItem};
-use amaranth_wire::id::JobId;
+use amaranth_wire::id::{JobId, UpstreamGroupId};
+use amaranth_wire::place_message::PlaceDemand;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use rand::RngExt;
+use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::batch::room::BatchRoom;
 use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
-use crate::upstream_pool::{PoolStep, UpstreamPlace, UpstreamPool};
+use crate::placing::PlaceFinder;
+use crate::upstream_pool::{PoolStep, UpstreamPlace};
 
 /// Longest silence of an upstream before its connection is given up: an engine that preempts an
 /// item reads it again from the start, which takes well under this.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 /// Pause after a try that found no room, from half to one and a half of it.
-const ROOM_PAUSE: Duration = Duration::from_millis(150);
+const ROOM_PAUSE: Duration = Duration::from_millis(100);
 
 /// Finds the route of an item in the configuration in force.
 pub type RouteFinder = Arc<dyn Fn() -> Option<Arc<RouteRule>> + Send + Sync>;
 
 /// What running items needs.
 pub struct ItemPath {
-    /// The upstreams.
-    pub pool: Arc<UpstreamPool>,
+    /// Finds places at upstreams.
+    pub places: Arc<PlaceFinder>,
     /// How they are spoken to.
     pub codec: UpstreamCodec,
-    /// Room beside online requests.
-    pub room: Arc<BatchRoom>,
+    /// Held by the item that looks for a place: items take turns in the order of their start.
+    pub turn: Mutex<()>,
 }
 
 /// One item that runs.
@@ -53,6 +54,11 @@
     failures: u32,
 }
 
+async fn pause() {
+    let factor = rand::rng().random_range(0.5..1.5);
+    sleep(ROOM_PAUSE.mul_f64(factor)).await;
+}
+
 enum ItemStep {
     End(ItemEnd),
     Again,
@@ -88,10 +94,7 @@
             match self.step().await {
                 ItemStep::End(end) => return end,
                 ItemStep::Again => {}
-                ItemStep::Wait => {
-                    let factor = rand::rng().random_range(0.5..1.5);
-                    sleep(ROOM_PAUSE.mul_f64(factor)).await;
-                }
+                ItemStep::Wait => pause().await,
             }
         }
     }
@@ -108,19 +111,32 @@
         let Some(group) = route.group(rand::rng().random()) else {
             return ItemStep::Wait;
         };
-        let permit = self.path.room.acquire(group).await;
-        let place = match self.path.pool.choose(group, PlacementDemand::Batch, &[]) {
-            PoolStep::Send(place) => place,
-            PoolStep::Refuse { .. } | PoolStep::NoUpstream => return ItemStep::Wait,
+        let Some(place) = self.find_place(group).await else {
+            return ItemStep::Again;
         };
-        let revoked = permit.revoked.clone();
-        match revoked.run_until_cancelled(self.attempt(place, &route)).await {
+        let gives_way = place.gives_way();
+        match gives_way
+            .run_until_cancelled(self.attempt(place, &route))
+            .await
+        {
             Some(step) => step,
             // The attempt's connection is closed; what it brought is kept.
             None => ItemStep::Again,
         }
     }
 
+    /// Waits for its turn and looks for a place; pauses if there is none.
+    async fn find_place(&self, group: &UpstreamGroupId) -> Option<UpstreamPlace> {
+        let _turn = self.path.turn.lock().await;
+        match self.path.places.find(group, PlaceDemand::Batch, &[]).await {
+            PoolStep::Send(place) => Some(place),
+            PoolStep::Refuse { .. } | PoolStep::NoUpstream => {
+                pause().await;
+                None
+            }
+        }
+    }
+
     fn is_given_up(&self, route: &RouteRule) -> bool {
         let RouteKind::Batch { give_up_ms, .. } = route.kind else {
             return false;
@@ -139,7 +155,7 @@
             resume_after: self.last_event,
         };
         let path = self.path.clone();
-        match attempt(&path.pool, &path.codec, place, &request, limits).await {
+        match attempt(&path.places.pool, &path.codec, place, &request, limits).await {
             AttemptStep::Answer(answer, place) => self.read(answer, place, route).await,
             AttemptStep::NotRun { .. } => ItemStep::Wait,
             AttemptStep::Broken { why, upstream } => {
--- a/crates/serve/src/batch/mod.rs
+++ b/crates/serve/src/batch/mod.rs
@@ -7,6 +7,5 @@
 pub mod item_run;
 pub mod pieces;
 pub mod reading;
-pub mod room;
 pub mod shards;
 pub mod worker;
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -5,7 +5,6 @@
 //! a while are harmless, since the first end on the log counts.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,22 +22,25 @@
 /// Time for which the former owner of a shard that moved may still finish what it runs.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Called with the members of the group when it changed.
+pub type MembersHook = Box<dyn Fn(Vec<String>) + Send + Sync>;
+
 /// The shards that this instance holds.
 pub struct ShardHold {
     held: Mutex<HashMap<u64, Instant>>,
     generation: Mutex<u64>,
-    members: AtomicU32,
+    on_members: MembersHook,
     member: String,
     shard_count: u64,
 }
 
 impl ShardHold {
     /// No shards yet, for a member with this name.
-    pub fn new(member: String, shard_count: u64) -> Self {
+    pub fn new(member: String, shard_count: u64, on_members: MembersHook) -> Self {
         Self {
             held: Mutex::default(),
             generation: Mutex::default(),
-            members: AtomicU32::new(1),
+            on_members,
             member,
             shard_count: shard_count.max(1),
         }
@@ -65,11 +67,6 @@
         self.len() == 0
     }
 
-    /// Number of instances that share the work.
-    pub fn members(&self) -> u32 {
-        self.members.load(Ordering::Relaxed)
-    }
-
     /// Stays in the group until the token is cancelled, then leaves it.
     pub async fn run(self: Arc<Self>, log: Arc<DurableLog>, stop: CancellationToken) {
         while !stop.is_cancelled() {
@@ -97,7 +94,7 @@
             Ok(shards) => {
                 let dealt = self.take(shards);
                 if dealt {
-                    self.count_members(log).await;
+                    self.list_members(log).await;
                 }
             }
             Err(e) => log::debug!(
@@ -108,10 +105,10 @@
         }
     }
 
-    async fn count_members(&self, log: &DurableLog) {
+    async fn list_members(&self, log: &DurableLog) {
         match (log.members)(()).await {
-            Ok(members) => self.members.store(members.max(1), Ordering::Relaxed),
-            Err(e) => log::info!("event=members_not_counted error={:?}", e.to_string()),
+            Ok(members) => (self.on_members)(members),
+            Err(e) => log::info!("event=members_not_listed error={:?}", e.to_string()),
         }
     }
 
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -6,18 +6,19 @@
 use amaranth_kernel::attempt_plan::{
     AttemptBounds, AttemptCount, AttemptNext, FailureProof, after_failure,
 };
-use amaranth_kernel::placement::PlacementDemand;
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
+use amaranth_wire::place_message::PlaceDemand;
 use tokio::time::Instant;
 
 use crate::answer::GiveUp;
 use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
-use crate::upstream_pool::{PoolStep, UpstreamPlace, UpstreamPool};
+use crate::placing::PlaceFinder;
+use crate::upstream_pool::{PoolStep, UpstreamPlace};
 
 /// Waits for the head of a repeatable request's answer, in objectives: an upstream that is silent
 /// for longer than a queue within the objective explains is left for another one.
@@ -33,8 +34,8 @@
 
 /// What forwarding needs.
 pub struct ForwardPath {
-    /// The upstreams.
-    pub pool: Arc<UpstreamPool>,
+    /// Finds places at upstreams.
+    pub places: Arc<PlaceFinder>,
     /// How they are spoken to.
     pub codec: UpstreamCodec,
     budget: Mutex<RetryBudget>,
@@ -42,9 +43,9 @@
 
 impl ForwardPath {
     /// A path to these upstreams.
-    pub fn new(pool: Arc<UpstreamPool>, codec: UpstreamCodec) -> Self {
+    pub fn new(places: Arc<PlaceFinder>, codec: UpstreamCodec) -> Self {
         Self {
-            pool,
+            places,
             codec,
             budget: Mutex::new(RetryBudget::new()),
         }
@@ -122,10 +123,10 @@
         resume_after: Option<u64>,
     ) -> Result<(OpenAnswer, UpstreamPlace), GiveUp> {
         loop {
-            let place = self.choose(resume_after.is_some())?;
+            let place = self.choose(resume_after.is_some()).await?;
             let limits = self.limits(resume_after);
             let path = self.path.clone();
-            let step = attempt(&path.pool, &path.codec, place, &self.request, limits).await;
+            let step = attempt(&path.places.pool, &path.codec, place, &self.request, limits).await;
             let (why, upstream, proof) = match step {
                 AttemptStep::Answer(answer, place) => {
                     if self.retries_failure(&answer) {
@@ -183,17 +184,21 @@
         }
     }
 
-    fn choose(&self, resuming: bool) -> Result<UpstreamPlace, GiveUp> {
+    async fn choose(&self, resuming: bool) -> Result<UpstreamPlace, GiveUp> {
         let objective = Duration::from_millis(self.route.objective_ms);
         // A request that has come so far is not refused: its work would be lost.
         let left = match resuming || self.count != AttemptCount::default() {
             true => self.remaining(),
             false => objective.saturating_sub(self.started.elapsed()),
         };
-        let demand = PlacementDemand::Online {
+        let demand = PlaceDemand::Online {
             objective_ms: left.as_millis() as u64,
         };
-        let step = self.path.pool.choose(&self.group, demand, &self.excluded);
+        let step = self
+            .path
+            .places
+            .find(&self.group, demand, &self.excluded)
+            .await;
         let (retry_after_ms, why) = match step {
             PoolStep::Send(place) => return Ok(place),
             PoolStep::Refuse { retry_after_ms } => (retry_after_ms, "upstreams are full"),
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -77,7 +77,7 @@
     pub fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Relaxed)
             && self.routes.revision().is_some()
-            && !self.forward.pool.is_empty()
+            && !self.forward.places.pool.is_empty()
             && self.board.is_loaded()
     }
 
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -115,8 +115,8 @@
     pub append: Call<Vec<NewEntry>, LogOffset>,
     /// Joins the group or stays in it.
     pub join: Call<GroupCall, GroupShards>,
-    /// Number of members of the group that hold shards.
-    pub members: Call<(), u32>,
+    /// The members of the group that hold shards.
+    pub members: Call<(), Vec<String>>,
     /// Leaves the group.
     pub leave: Call<String, ()>,
     /// Number of shards that the group shares.
--- /dev/null
+++ b/crates/serve/src/placing.rs
@@ -0,0 +1,329 @@
+//! Finds places at upstreams. For each group of upstreams one instance hands out the places; it
+//! is asked by datagram. Where it does not answer in time, this instance places by itself.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+use amaranth_kernel::hashing::rendezvous_order;
+use amaranth_kernel::place_desk::{DeskUpstream, GiveWayOrder, PlaceDesk};
+use amaranth_net::clock::steady_ms;
+use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
+use amaranth_wire::place_message::{PlaceDemand, PlaceMessage, PlaceReply};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::member_name::MemberName;
+use crate::upstream_pool::{PoolStep, UpstreamPool};
+
+/// Longest wait for an answer: several round trips between data centres, and a small part of a
+/// first event's objective.
+const ASK_LIMIT: Duration = Duration::from_millis(12);
+/// Time for which an instance that did not answer is not asked: a killed process is back, or
+/// replaced in the list of members, after a few of them.
+const SUSPECT_TIME: Duration = Duration::from_millis(700);
+/// Instances that are told the counts of a group: the one that hands out its places, and the one
+/// that takes over from it.
+const DESKS: usize = 2;
+/// Time in which changes of the counts are gathered into one message.
+const GATHER: Duration = Duration::from_millis(8);
+/// Time between two messages while requests are in flight.
+const REPEAT: Duration = Duration::from_millis(300);
+/// Most bytes of a datagram.
+const DATAGRAM_BYTES: usize = 16 << 10;
+
+/// Result of opening the socket.
+pub type Result<T> = io::Result<T>;
+
+/// Finds places.
+pub struct PlaceFinder {
+    /// The upstreams.
+    pub pool: Arc<UpstreamPool>,
+    member: MemberName,
+    socket: UdpSocket,
+    members: RwLock<Vec<MemberName>>,
+    desk: Mutex<PlaceDesk>,
+    pending: Mutex<HashMap<u64, oneshot::Sender<PlaceReply>>>,
+    suspects: Mutex<HashMap<SocketAddr, Instant>>,
+    number: AtomicU64,
+    sequence: AtomicU64,
+}
+
+impl PlaceFinder {
+    /// A finder that takes datagrams at its member's address.
+    pub async fn open(pool: Arc<UpstreamPool>, member: MemberName) -> Result<Self> {
+        let socket = UdpSocket::bind(member.address).await?;
+        Ok(Self {
+            pool,
+            members: RwLock::new(vec![member.clone()]),
+            member,
+            socket,
+            desk: Mutex::default(),
+            pending: Mutex::default(),
+            suspects: Mutex::default(),
+            number: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+        })
+    }
+
+    /// This process as a member.
+    pub fn member(&self) -> &MemberName {
+        &self.member
+    }
+
+    /// Replaces the list of members.
+    pub fn set_members(&self, members: Vec<MemberName>) {
+        log::info!("event=members_changed count={}", members.len());
+        *self.members.write().expect("not poisoned") = members;
+    }
+
+    /// Finds a place at an upstream of a group that is not among the excluded.
+    pub async fn find(
+        &self,
+        group: &UpstreamGroupId,
+        demand: PlaceDemand,
+        excluded: &[UpstreamId],
+    ) -> PoolStep {
+        let excluded = self.pool.with_unavailable(group, excluded);
+        let reply = self.ask(group, demand, &excluded).await;
+        match reply {
+            Some(PlaceReply::Granted { upstream, load }) => {
+                let batch = demand == PlaceDemand::Batch;
+                match self.pool.take(&upstream, load, batch) {
+                    Some(place) => PoolStep::Send(place),
+                    None => self.pool.choose(group, demand, &excluded),
+                }
+            }
+            Some(PlaceReply::Refused { retry_after_ms }) => PoolStep::Refuse { retry_after_ms },
+            Some(PlaceReply::NoUpstream) | None => self.pool.choose(group, demand, &excluded),
+        }
+    }
+
+    /// The members that hand out a group's places, the first one first. Only the largest machines
+    /// do: the others have little processor time to spare.
+    fn desks(&self, group: &UpstreamGroupId) -> Vec<MemberName> {
+        let members = self.members.read().expect("not poisoned");
+        let largest = members.iter().map(|member| member.weight).max();
+        let able = members
+            .iter()
+            .filter(|member| Some(member.weight) == largest);
+        let order = rendezvous_order(group.as_str().as_bytes(), able, |member| {
+            member.instance.as_str()
+        });
+        order.into_iter().take(DESKS).cloned().collect()
+    }
+
+    async fn ask(
+        &self,
+        group: &UpstreamGroupId,
+        demand: PlaceDemand,
+        excluded: &[UpstreamId],
+    ) -> Option<PlaceReply> {
+        let desks = self.desks(group);
+        let desk = desks.iter().find(|desk| !self.is_suspect(desk.address))?;
+        if *desk == self.member {
+            let (reply, order) = self.answer(&self.member.data_centre, group, demand, excluded);
+            self.send_order(order).await;
+            return Some(reply);
+        }
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.pending
+            .lock()
+            .expect("not poisoned")
+            .insert(number, sender);
+        let message = PlaceMessage::Ask {
+            member: self.member.to_string(),
+            number,
+            group: group.clone(),
+            demand,
+            excluded: excluded.to_vec(),
+        };
+        self.send(&message, desk.address).await;
+        let reply = timeout(ASK_LIMIT, receiver).await;
+        self.pending.lock().expect("not poisoned").remove(&number);
+        if let Ok(Ok(reply)) = reply {
+            return Some(reply);
+        }
+        log::info!(
+            "event=desk_silent group={group} desk={} ms={}",
+            desk.instance,
+            ASK_LIMIT.as_millis()
+        );
+        metrics::counter!("desk_silent_total").increment(1);
+        let until = Instant::now() + SUSPECT_TIME;
+        self.suspects
+            .lock()
+            .expect("not poisoned")
+            .insert(desk.address, until);
+        None
+    }
+
+    fn is_suspect(&self, address: SocketAddr) -> bool {
+        let mut suspects = self.suspects.lock().expect("not poisoned");
+        let now = Instant::now();
+        suspects.retain(|_, until| *until > now);
+        suspects.contains_key(&address)
+    }
+
+    fn answer(
+        &self,
+        data_centre: &DataCentreId,
+        group: &UpstreamGroupId,
+        demand: PlaceDemand,
+        excluded: &[UpstreamId],
+    ) -> (PlaceReply, Option<GiveWayOrder>) {
+        let serving = self.pool.serving(group, excluded).into_iter();
+        let upstreams = serving.map(|(upstream, notice)| DeskUpstream {
+            upstream,
+            slots: notice.slots,
+            near: notice.data_centre == *data_centre,
+        });
+        let upstreams: Vec<_> = upstreams.collect();
+        let mut desk = self.desk.lock().expect("not poisoned");
+        desk.ask(&upstreams, demand, steady_ms(), &mut rand::rng())
+    }
+
+    async fn send_order(&self, order: Option<GiveWayOrder>) {
+        let Some(GiveWayOrder { member, upstream }) = order else {
+            return;
+        };
+        match member.parse::<MemberName>() {
+            Ok(member) if member == self.member => self.pool.give_way(&upstream),
+            Ok(member) => {
+                self.send(&PlaceMessage::GiveWay { upstream }, member.address)
+                    .await
+            }
+            Err(e) => log::warn!("event=order_not_sent error={:?}", e.to_string()),
+        }
+    }
+
+    async fn send(&self, message: &PlaceMessage, address: SocketAddr) {
+        if let Err(e) = self.socket.send_to(&message.encode(), address).await {
+            log::debug!(
+                "event=datagram_not_sent address={address} error={:?}",
+                e.to_string()
+            );
+        }
+    }
+
+    /// Takes datagrams until the token is cancelled.
+    pub async fn receive(self: Arc<Self>, stop: CancellationToken) {
+        let receive = async {
+            let mut buffer = vec![0; DATAGRAM_BYTES];
+            loop {
+                match self.socket.recv_from(&mut buffer).await {
+                    Ok((length, from)) => match PlaceMessage::decode(&buffer[..length]) {
+                        Ok(message) => self.take_message(message, from).await,
+                        Err(e) => log::warn!(
+                            "event=datagram_malformed from={from} error={:?}",
+                            e.to_string()
+                        ),
+                    },
+                    Err(e) => {
+                        log::warn!("event=datagram_not_received error={:?}", e.to_string());
+                        sleep(GATHER).await;
+                    }
+                }
+            }
+        };
+        stop.run_until_cancelled(receive).await;
+    }
+
+    async fn take_message(&self, message: PlaceMessage, from: SocketAddr) {
+        match message {
+            PlaceMessage::Counts {
+                member,
+                sequence,
+                counts,
+            } => {
+                let mut desk = self.desk.lock().expect("not poisoned");
+                desk.note_counts(member, sequence, counts, steady_ms());
+            }
+            PlaceMessage::Ask {
+                member,
+                number,
+                group,
+                demand,
+                excluded,
+            } => match member.parse::<MemberName>() {
+                Ok(member) => {
+                    let (reply, order) =
+                        self.answer(&member.data_centre, &group, demand, &excluded);
+                    self.send(&PlaceMessage::Reply { number, reply }, from)
+                        .await;
+                    self.send_order(order).await;
+                }
+                Err(e) => log::warn!(
+                    "event=datagram_malformed from={from} error={:?}",
+                    e.to_string()
+                ),
+            },
+            PlaceMessage::Reply { number, reply } => {
+                let asked = self.pending.lock().expect("not poisoned").remove(&number);
+                if let Some(asked) = asked {
+                    // Who asked may have stopped waiting a moment ago.
+                    let _ = asked.send(reply);
+                }
+            }
+            PlaceMessage::GiveWay { upstream } => self.pool.give_way(&upstream),
+        }
+    }
+
+    /// Tells the desks what is in flight here, until the token is cancelled.
+    pub async fn tell(self: Arc<Self>, stop: CancellationToken) {
+        let tell = async {
+            let mut told_some = false;
+            loop {
+                match told_some {
+                    // Nothing in flight: there is nothing to repeat.
+                    false => self.pool.changed().await,
+                    true => {
+                        let _ = timeout(REPEAT, self.pool.changed()).await;
+                    }
+                }
+                sleep(GATHER).await;
+                told_some = self.tell_counts().await;
+            }
+        };
+        stop.run_until_cancelled(tell).await;
+    }
+
+    /// Sends the counts; returns whether there were any.
+    async fn tell_counts(&self) -> bool {
+        let mut desks: Vec<MemberName> = Vec::new();
+        for group in self.pool.groups() {
+            desks.extend(self.desks(&group));
+        }
+        desks.sort();
+        desks.dedup();
+        let counts = self.pool.counts();
+        let told_some = !counts.is_empty();
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let message = PlaceMessage::Counts {
+            member: self.member.to_string(),
+            sequence,
+            counts: counts.clone(),
+        };
+        for desk in desks {
+            match desk == self.member {
+                true => {
+                    let mut own = self.desk.lock().expect("not poisoned");
+                    own.note_counts(
+                        self.member.to_string(),
+                        sequence,
+                        counts.clone(),
+                        steady_ms(),
+                    );
+                }
+                false => self.send(&message, desk.address).await,
+            }
+        }
+        told_some
+    }
+}
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -9,7 +9,7 @@
 use amaranth_net::telemetry;
 use amaranth_wire::id::{DataCentreId, InstanceId, UpstreamId};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -18,7 +18,6 @@
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::item_run::{ItemPath, RouteFinder};
-use crate::batch::room::BatchRoom;
 use crate::batch::shards::ShardHold;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
 use crate::call::{CallerCodec, UpstreamCodec};
@@ -26,6 +25,8 @@
 use crate::gateway::Gateway;
 use crate::listener::{self, ConnectionLimits};
 use crate::log_access::{DurableLog, LogEntry, LogTopic};
+use crate::member_name::MemberName;
+use crate::placing::PlaceFinder;
 use crate::route_state::RouteState;
 use crate::topic_follow::{FollowStep, TopicFollower};
 use crate::upstream_pool::UpstreamPool;
@@ -63,6 +64,10 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it is ready, and where metrics are read.
     pub probes: SocketAddr,
+    /// Where other instances' datagrams come in.
+    pub peers: SocketAddr,
+    /// Size of the machine among the instances, in hundredths of a core.
+    pub weight: u32,
     /// Path of the balancer's question.
     pub readiness_path: String,
     /// Path of the metrics.
@@ -112,7 +117,9 @@
     let accept = CancellationToken::new();
     let connections = TaskTracker::new();
     let background = TaskTracker::new();
-    let gateway = build(&config, Arc::new(log), codecs, &work, &background);
+    let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
+    let places = Arc::new(PlaceFinder::open(pool, member_name(&config)).await?);
+    let gateway = build(&config, places, Arc::new(log), codecs, &work, &background);
 
     let answering = gateway.clone();
     let limits = gateway.clone();
@@ -132,7 +139,7 @@
         config.clone(),
         work.clone(),
     ));
-    tokio::spawn(sweep(gateway.forward.pool.clone()));
+    tokio::spawn(sweep(gateway.forward.places.pool.clone()));
 
     loop {
         tokio::select! {
@@ -179,19 +186,32 @@
     );
 }
 
+fn member_name(config: &ServeConfig) -> MemberName {
+    MemberName {
+        instance: config.instance.clone(),
+        run: rand::random(),
+        address: config.peers,
+        weight: config.weight,
+        data_centre: config.data_centre.clone(),
+    }
+}
+
 fn build(
     config: &ServeConfig,
+    places: Arc<PlaceFinder>,
     log: Arc<DurableLog>,
     codecs: ProtocolCodecs,
     work: &CancellationToken,
     background: &TaskTracker,
 ) -> Arc<Gateway> {
     let routes = Arc::new(RouteState::new());
-    let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
+    let pool = places.pool.clone();
     let board = Arc::new(JobBoard::new());
     let committer = BatchCommitter::new(log.clone(), work.clone());
-    let member = format!("{}.{:08x}", config.instance, rand::random::<u32>());
-    let shards = Arc::new(ShardHold::new(member, log.shard_count));
+    let listed = places.clone();
+    let on_members = Box::new(move |members| set_members(&listed, members));
+    let member = places.member().to_string();
+    let shards = Arc::new(ShardHold::new(member, log.shard_count, on_members));
     let followers = [
         follow_configuration(routes.clone(), codecs),
         follow_upstreams(pool.clone(), codecs),
@@ -201,12 +221,12 @@
         background.spawn(follower.run(log.clone(), work.clone()));
     }
     background.spawn(shards.clone().run(log.clone(), work.clone()));
-    let room = Arc::new(BatchRoom::new(pool.clone(), shards.clone()));
-    background.spawn(room.clone().run(work.clone()));
+    background.spawn(places.clone().receive(work.clone()));
+    background.spawn(places.clone().tell(work.clone()));
     let path = ItemPath {
-        pool: pool.clone(),
+        places: places.clone(),
         codec: codecs.upstream,
-        room,
+        turn: Mutex::default(),
     };
     let worker_config = WorkerConfig {
         find_route: route_finders(routes.clone()),
@@ -220,7 +240,7 @@
         worker_config,
     );
     background.spawn(worker.run(work.clone()));
-    let forward = Arc::new(ForwardPath::new(pool, codecs.upstream));
+    let forward = Arc::new(ForwardPath::new(places, codecs.upstream));
     Arc::new(Gateway::new(
         routes,
         forward,
@@ -231,6 +251,18 @@
     ))
 }
 
+/// Takes over the list of members. Names that can't be read belong to other versions.
+fn set_members(places: &PlaceFinder, members: Vec<String>) {
+    let (names, other): (Vec<_>, Vec<_>) = members
+        .into_iter()
+        .map(|member| member.parse::<MemberName>())
+        .partition(|name| name.is_ok());
+    for error in other.into_iter().filter_map(|name| name.err()) {
+        log::warn!("event=member_ignored error={:?}", error.to_string());
+    }
+    places.set_members(names.into_iter().flatten().collect());
+}
+
 fn route_finders(routes: Arc<RouteState>) -> Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync> {
     Arc::new(move |host, path| {
         let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -1,16 +1,18 @@
 //! The upstreams, their load as this instance sees it, and their connections.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
-use amaranth_kernel::placement::{
-    LoadTrack, PlacementCandidate, PlacementDemand, PlacementStep, place,
-};
+use amaranth_kernel::ejection::{self, UpstreamHealth};
+use amaranth_kernel::placement::{LoadTrack, PlacementCandidate, PlacementStep, place};
 use amaranth_kernel::upstream_registry::{RegistryChange, UpstreamNotice, UpstreamRegistry};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
+use amaranth_wire::place_message::{PlaceCount, PlaceDemand};
 
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::call::LoadReport;
 use crate::connection_book::{ConnectionBook, ConnectionKey};
@@ -22,16 +24,16 @@
     data_centre: DataCentreId,
     registry: RwLock<UpstreamRegistry>,
     tracks: Mutex<HashMap<UpstreamId, LoadTrack>>,
-    online_started: Notify,
+    batch_runs: Mutex<Vec<BatchRun>>,
+    next_run: AtomicU64,
+    changed: Notify,
 }
 
-/// Load of one group by this instance.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct GroupLoad {
-    /// Places of its upstreams.
-    pub slots: u32,
-    /// Online requests of this instance.
-    pub online: u32,
+/// A batch item that runs.
+struct BatchRun {
+    number: u64,
+    upstream: UpstreamId,
+    gives_way: CancellationToken,
 }
 
 /// A place at an upstream, held until dropped.
@@ -42,7 +44,7 @@
     pub key: ConnectionKey,
     /// Its estimated load when it was chosen.
     pub load: f64,
-    batch: bool,
+    batch: Option<(u64, CancellationToken)>,
     pool: Arc<UpstreamPool>,
 }
 
@@ -67,29 +69,134 @@
             data_centre,
             registry: RwLock::new(UpstreamRegistry::new()),
             tracks: Mutex::new(HashMap::new()),
-            online_started: Notify::new(),
+            batch_runs: Mutex::default(),
+            next_run: AtomicU64::new(0),
+            changed: Notify::new(),
         }
     }
 
-    /// Waits until an online request is sent.
-    pub async fn online_started(&self) {
-        self.online_started.notified().await;
+    /// Waits until a request is sent or ends.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
     }
 
-    /// The load of a group.
-    pub fn group_load(&self, group: &UpstreamGroupId) -> GroupLoad {
+    /// The groups of which there are upstreams.
+    pub fn groups(&self) -> Vec<UpstreamGroupId> {
         let registry = self.registry.read().expect("not poisoned");
+        let groups: HashSet<_> = registry
+            .iter()
+            .map(|(_, notice)| notice.group.clone())
+            .collect();
+        groups.into_iter().collect()
+    }
+
+    /// What this instance has in flight.
+    pub fn counts(&self) -> Vec<PlaceCount> {
         let tracks = self.tracks.lock().expect("not poisoned");
-        let mut load = GroupLoad::default();
-        let members = registry.iter().filter(|(_, notice)| notice.group == *group);
-        for (upstream, notice) in members {
-            let track = tracks.get(upstream);
-            load.online += track.map_or(0, |track| track.own - track.own_batch);
-            if !notice.leaving {
-                load.slots += notice.slots;
-            }
+        let busy = tracks.iter().filter(|(_, track)| track.own > 0);
+        let counts = busy.map(|(upstream, track)| PlaceCount {
+            upstream: upstream.clone(),
+            online: track.own - track.own_batch,
+            batch: track.own_batch,
+            service_ms: track.service_ms().unwrap_or(0.0) as u32,
+        });
+        counts.collect()
+    }
+
+    /// Lets the newest batch item at an upstream give way: it has the least to lose.
+    pub fn give_way(&self, upstream: &UpstreamId) {
+        let runs = self.batch_runs.lock().expect("not poisoned");
+        let mut newest = runs.iter().rev();
+        let run = newest.find(|run| run.upstream == *upstream && !run.gives_way.is_cancelled());
+        if let Some(run) = run {
+            log::debug!("event=item_gives_way upstream={upstream}");
+            metrics::counter!("items_gave_way_total").increment(1);
+            run.gives_way.cancel();
         }
-        load
+    }
+
+    /// The upstreams of a group that may get new work and are not among the excluded.
+    pub fn serving(
+        &self,
+        group: &UpstreamGroupId,
+        excluded: &[UpstreamId],
+    ) -> Vec<(UpstreamId, UpstreamNotice)> {
+        let registry = self.registry.read().expect("not poisoned");
+        let serving = registry.iter().filter(|(upstream, notice)| {
+            notice.group == *group && !notice.leaving && !excluded.contains(upstream)
+        });
+        let serving = serving.map(|(upstream, notice)| (upstream.clone(), notice.clone()));
+        let mut serving: Vec<_> = serving.collect();
+        serving.sort_by(|(a, _), (b, _)| a.cmp(b));
+        serving
+    }
+
+    /// The excluded upstreams and those of the group that failed lately, unless none would be
+    /// left.
+    pub fn with_unavailable(
+        &self,
+        group: &UpstreamGroupId,
+        excluded: &[UpstreamId],
+    ) -> Vec<UpstreamId> {
+        let serving = self.serving(group, excluded);
+        let tracks = self.tracks.lock().expect("not poisoned");
+        let health = |upstream| {
+            tracks
+                .get(upstream)
+                .map_or_else(UpstreamHealth::new, |track| track.health)
+        };
+        let healths: Vec<_> = serving
+            .iter()
+            .map(|(upstream, _)| health(upstream))
+            .collect();
+        let available = ejection::available(&healths, steady_ms());
+        let rows = serving.into_iter().zip(available);
+        let out = rows.filter_map(|((upstream, _), available)| (!available).then_some(upstream));
+        excluded.iter().cloned().chain(out).collect()
+    }
+
+    /// Takes a place at an upstream, unless it is not known or leaving.
+    pub fn take(
+        self: &Arc<Self>,
+        upstream: &UpstreamId,
+        load: f64,
+        batch: bool,
+    ) -> Option<UpstreamPlace> {
+        let registry = self.registry.read().expect("not poisoned");
+        let notice = registry.get(upstream).filter(|notice| !notice.leaving)?;
+        let key = ConnectionKey {
+            address: notice.address,
+            owner: upstream.to_string(),
+        };
+        drop(registry);
+        let mut tracks = self.tracks.lock().expect("not poisoned");
+        let track = tracks.entry(upstream.clone()).or_default();
+        track.own += 1;
+        track.own_batch += u32::from(batch);
+        track.health.start(steady_ms());
+        drop(tracks);
+        self.changed.notify_one();
+        Some(UpstreamPlace {
+            upstream: upstream.clone(),
+            key,
+            load,
+            batch: batch.then(|| self.note_batch_run(upstream)),
+            pool: self.clone(),
+        })
+    }
+
+    fn note_batch_run(&self, upstream: &UpstreamId) -> (u64, CancellationToken) {
+        let number = self.next_run.fetch_add(1, Ordering::Relaxed);
+        let gives_way = CancellationToken::new();
+        self.batch_runs
+            .lock()
+            .expect("not poisoned")
+            .push(BatchRun {
+                number,
+                upstream: upstream.clone(),
+                gives_way: gives_way.clone(),
+            });
+        (number, gives_way)
     }
 
     /// Takes in an announcement.
@@ -155,57 +262,45 @@
         }
     }
 
-    /// Chooses an upstream of a group that is not among the excluded.
+    /// Chooses by what this instance knows itself.
     pub fn choose(
         self: &Arc<Self>,
         group: &UpstreamGroupId,
-        demand: PlacementDemand,
+        demand: PlaceDemand,
         excluded: &[UpstreamId],
     ) -> PoolStep {
-        let registry = self.registry.read().expect("not poisoned");
-        let mut tracks = self.tracks.lock().expect("not poisoned");
-        let serving = registry.iter().filter(|(upstream, notice)| {
-            notice.group == *group && !notice.leaving && !excluded.contains(upstream)
-        });
-        let mut serving: Vec<_> = serving.collect();
-        serving.sort_by(|(a, _), (b, _)| a.cmp(b));
+        let serving = self.serving(group, excluded);
+        let tracks = self.tracks.lock().expect("not poisoned");
         let idle = LoadTrack::default();
         let candidates = serving.iter().map(|(upstream, notice)| PlacementCandidate {
             slots: notice.slots,
             near: notice.data_centre == self.data_centre,
-            track: tracks.get(*upstream).unwrap_or(&idle),
+            track: tracks.get(upstream).unwrap_or(&idle),
         });
         let candidates: Vec<_> = candidates.collect();
-        let now_ms = steady_ms();
-        match place(&candidates, demand, now_ms, &mut rand::rng()) {
+        let step = place(&candidates, demand, steady_ms(), &mut rand::rng());
+        drop(tracks);
+        match step {
             PlacementStep::Refuse { retry_after_ms } => PoolStep::Refuse { retry_after_ms },
             PlacementStep::NoUpstream => PoolStep::NoUpstream,
             PlacementStep::Send { index, load } => {
-                let (upstream, notice) = serving[index];
-                let batch = demand == PlacementDemand::Batch;
-                let track = tracks.entry(upstream.clone()).or_default();
-                track.own += 1;
-                track.own_batch += u32::from(batch);
-                track.health.start(now_ms);
-                if !batch {
-                    self.online_started.notify_waiters();
+                let batch = demand == PlaceDemand::Batch;
+                match self.take(&serving[index].0, load, batch) {
+                    Some(place) => PoolStep::Send(place),
+                    None => PoolStep::NoUpstream,
                 }
-                PoolStep::Send(UpstreamPlace {
-                    upstream: upstream.clone(),
-                    key: ConnectionKey {
-                        address: notice.address,
-                        owner: upstream.to_string(),
-                    },
-                    load,
-                    batch,
-                    pool: self.clone(),
-                })
             }
         }
     }
 }
 
 impl UpstreamPlace {
+    /// Cancelled when a batch item must give way to online requests.
+    pub fn gives_way(&self) -> CancellationToken {
+        let token = self.batch.as_ref().map(|(_, token)| token.clone());
+        token.unwrap_or_default()
+    }
+
     /// Notes the load that the upstream reported.
     pub fn note_load(&self, report: LoadReport) {
         let total = report.running + report.waiting;
@@ -237,10 +332,15 @@
 
 impl Drop for UpstreamPlace {
     fn drop(&mut self) {
-        let batch = self.batch;
+        let run = self.batch.take();
         self.update(|track| {
             track.own -= 1;
-            track.own_batch -= u32::from(batch);
+            track.own_batch -= u32::from(run.is_some());
         });
+        if let Some((number, _)) = run {
+            let mut runs = self.pool.batch_runs.lock().expect("not poisoned");
+            runs.retain(|run| run.number != number);
+        }
+        self.pool.changed.notify_one();
     }
 }
