Count a granted place until its instance's counts cover it; start items only on a fresh log

Cause 1: a granted place counted by itself for 60 ms while the next counts held it already, so upstreams with room looked full. Items start only while the last read is under 2.2 s old.

--- a/crates/kernel/src/place_desk.rs
+++ b/crates/kernel/src/place_desk.rs
@@ -12,16 +12,16 @@
 use std::collections::HashMap;
 
 use amaranth_wire::id::UpstreamId;
-use amaranth_wire::place_message::{PlaceCount, PlaceDemand, PlaceReply};
+use amaranth_wire::place_message::{PlaceCounts, PlaceDemand, PlaceQuestion, PlaceReply};
 use rand::RngExt;
 
 use crate::routing::DecisionRng;
 
 /// Time after which a silent instance's counts are dropped, in milliseconds: several repeats.
 const SILENT_MS: u64 = 1_500;
-/// Time for which a granted place counts by itself, in milliseconds: until the instance's next
-/// counts hold it, with a round trip to spare.
-const GRANT_MS: u64 = 60;
+/// Time after which a granted place that no counts confirm is taken for lost, in milliseconds:
+/// several messages.
+const GRANT_MS: u64 = 250;
 /// Weight of an instance's newest measurement: instances repeat theirs several times a second.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Time of a usual request before one was measured, in milliseconds.
@@ -50,11 +50,13 @@
 struct MemberCounts {
     sequence: u64,
     heard_ms: u64,
-    counts: Vec<PlaceCount>,
+    counts: PlaceCounts,
 }
 
 #[derive(Debug)]
 struct Grant {
+    member: String,
+    question: u64,
     upstream: UpstreamId,
     batch: bool,
     until_ms: u64,
@@ -114,18 +116,12 @@
     }
 
     /// Takes in what an instance has in flight.
-    pub fn note_counts(
-        &mut self,
-        member: String,
-        sequence: u64,
-        counts: Vec<PlaceCount>,
-        now_ms: u64,
-    ) {
+    pub fn note_counts(&mut self, member: String, sequence: u64, counts: PlaceCounts, now_ms: u64) {
         let known = self.members.get(&member).map_or(0, |known| known.sequence);
         if sequence < known {
             return;
         }
-        for count in counts.iter().filter(|count| count.service_ms > 0) {
+        for count in counts.rows.iter().filter(|count| count.service_ms > 0) {
             let sample = f64::from(count.service_ms);
             let known = self
                 .service_ms
@@ -133,6 +129,8 @@
                 .or_insert(sample);
             *known += (sample - *known) * SAMPLE_WEIGHT;
         }
+        self.grants
+            .retain(|grant| grant.member != member || !counts.covers(grant.question));
         let counts = MemberCounts {
             sequence,
             heard_ms: now_ms,
@@ -146,18 +144,24 @@
     pub fn ask(
         &mut self,
         upstreams: &[DeskUpstream],
-        demand: PlaceDemand,
+        question: &PlaceQuestion,
         now_ms: u64,
         rng: DecisionRng<'_>,
     ) -> (PlaceReply, Option<GiveWayOrder>) {
         self.expire(now_ms);
         let loads = self.loads(upstreams);
-        match demand {
-            PlaceDemand::Batch => (self.place_batch(upstreams, &loads, now_ms), None),
+        let (placed, order) = match question.demand {
+            PlaceDemand::Batch => (place_batch(&loads), None),
             PlaceDemand::Online { objective_ms } => {
-                self.place_online(upstreams, &loads, objective_ms, now_ms, rng)
+                self.place_online(upstreams, &loads, objective_ms, rng)
             }
-        }
+        };
+        let reply = match placed {
+            Placed::At(index) => self.grant(&upstreams[index], loads[index], question, now_ms),
+            Placed::Refused { retry_after_ms } => PlaceReply::Refused { retry_after_ms },
+            Placed::NoUpstream => PlaceReply::NoUpstream,
+        };
+        (reply, order)
     }
 
     fn expire(&mut self, now_ms: u64) {
@@ -177,7 +181,7 @@
             _ => sum / f64::from(count),
         };
         let mut counted: HashMap<&UpstreamId, (u32, u32)> = HashMap::new();
-        for count in self.members.values().flat_map(|member| &member.counts) {
+        for count in self.members.values().flat_map(|member| &member.counts.rows) {
             let (online, batch) = counted.entry(&count.upstream).or_default();
             *online += count.online;
             *batch += count.batch;
@@ -207,12 +211,14 @@
         &mut self,
         row: &DeskUpstream,
         load: DeskLoad,
-        batch: bool,
+        question: &PlaceQuestion,
         now_ms: u64,
     ) -> PlaceReply {
         self.grants.push(Grant {
+            member: question.member.clone(),
+            question: question.number,
             upstream: row.upstream.clone(),
-            batch,
+            batch: question.demand == PlaceDemand::Batch,
             until_ms: now_ms + GRANT_MS,
         });
         PlaceReply::Granted {
@@ -221,51 +227,29 @@
         }
     }
 
-    fn place_batch(
-        &mut self,
-        upstreams: &[DeskUpstream],
-        loads: &[DeskLoad],
-        now_ms: u64,
-    ) -> PlaceReply {
-        let slots: u32 = loads.iter().map(|load| load.slots).sum();
-        let taken: u32 = loads.iter().map(|load| load.total()).sum();
-        let rows = upstreams.iter().zip(loads);
-        let least = rows.min_by(|(_, a), (_, b)| a.occupancy().total_cmp(&b.occupancy()));
-        let Some((row, load)) = least else {
-            return PlaceReply::NoUpstream;
-        };
-        let room = f64::from(taken + 1) <= (f64::from(slots) * BATCH_FILL).max(1.0);
-        match room && load.total() < load.slots {
-            true => self.grant(row, *load, true, now_ms),
-            false => PlaceReply::Refused {
-                retry_after_ms: BATCH_PAUSE_MS,
-            },
-        }
-    }
-
     fn place_online(
         &mut self,
         upstreams: &[DeskUpstream],
         loads: &[DeskLoad],
         objective_ms: u64,
-        now_ms: u64,
         rng: DecisionRng<'_>,
-    ) -> (PlaceReply, Option<GiveWayOrder>) {
-        let rows = || upstreams.iter().zip(loads.iter().copied());
-        let Some((row, load)) = rows().min_by(|a, b| online_order(*a, *b)) else {
-            return (PlaceReply::NoUpstream, None);
+    ) -> (Placed, Option<GiveWayOrder>) {
+        let order = |a: &usize, b: &usize| {
+            online_order((&upstreams[*a], loads[*a]), (&upstreams[*b], loads[*b]))
+        };
+        let Some(best) = (0..loads.len()).min_by(order) else {
+            return (Placed::NoUpstream, None);
         };
-        if load.total() < load.slots {
-            return (self.grant(row, load, false, now_ms), None);
+        if loads[best].total() < loads[best].slots {
+            return (Placed::At(best), None);
         }
-        let with_batch = rows().filter(|(_, load)| load.batch > 0);
-        if let Some((row, load)) = with_batch.min_by_key(|(_, load)| load.online) {
-            let order = self.give_way(&row.upstream);
-            return (self.grant(row, load, false, now_ms), order);
+        let with_batch = (0..loads.len()).filter(|index| loads[*index].batch > 0);
+        if let Some(index) = with_batch.min_by_key(|index| loads[*index].online) {
+            return (Placed::At(index), self.give_way(&upstreams[index].upstream));
         }
-        let wait_ms = load.wait_ms();
+        let wait_ms = loads[best].wait_ms();
         match wait_ms <= objective_ms as f64 {
-            true => (self.grant(row, load, false, now_ms), None),
+            true => (Placed::At(best), None),
             false => (refuse(wait_ms, objective_ms, rng), None),
         }
     }
@@ -274,7 +258,7 @@
     /// gone at once, so that the next request takes another item's place.
     fn give_way(&mut self, upstream: &UpstreamId) -> Option<GiveWayOrder> {
         let holders = self.members.iter_mut().filter_map(|(member, counts)| {
-            let mut counts = counts.counts.iter_mut();
+            let mut counts = counts.counts.rows.iter_mut();
             let count = counts.find(|count| count.upstream == *upstream && count.batch > 0)?;
             Some((member, count))
         });
@@ -287,6 +271,30 @@
     }
 }
 
+enum Placed {
+    At(usize),
+    Refused { retry_after_ms: u64 },
+    NoUpstream,
+}
+
+/// The least loaded upstream, while online requests keep some room.
+fn place_batch(loads: &[DeskLoad]) -> Placed {
+    let slots: u32 = loads.iter().map(|load| load.slots).sum();
+    let taken: u32 = loads.iter().map(|load| load.total()).sum();
+    let occupancy = |index: &usize| loads[*index].occupancy();
+    let least = (0..loads.len()).min_by(|a, b| occupancy(a).total_cmp(&occupancy(b)));
+    let Some(least) = least else {
+        return Placed::NoUpstream;
+    };
+    let room = f64::from(taken + 1) <= (f64::from(slots) * BATCH_FILL).max(1.0);
+    match room && loads[least].total() < loads[least].slots {
+        true => Placed::At(least),
+        false => Placed::Refused {
+            retry_after_ms: BATCH_PAUSE_MS,
+        },
+    }
+}
+
 /// Shortest wait first; then the most room for the speed; then the same data centre.
 fn online_order(a: (&DeskUpstream, DeskLoad), b: (&DeskUpstream, DeskLoad)) -> Ordering {
     let by_wait = a.1.wait_ms().total_cmp(&b.1.wait_ms());
@@ -295,10 +303,10 @@
 }
 
 /// Callers come back spread over the time in which enough places fall free.
-fn refuse(wait_ms: f64, objective_ms: u64, rng: DecisionRng<'_>) -> PlaceReply {
+fn refuse(wait_ms: f64, objective_ms: u64, rng: DecisionRng<'_>) -> Placed {
     let over = (wait_ms - objective_ms as f64 / 2.0).max(MIN_PAUSE_MS);
     let pause = over * rng.random_range(0.7..1.7);
-    PlaceReply::Refused {
+    Placed::Refused {
         retry_after_ms: pause.clamp(MIN_PAUSE_MS, MAX_PAUSE_MS) as u64,
     }
 }
--- a/crates/serve/src/batch/board.rs
+++ b/crates/serve/src/batch/board.rs
@@ -14,6 +14,10 @@
 use crate::log_access::{DurableLog, LogEntry, LogTopic, Result};
 use crate::topic_follow::FollowStep;
 
+/// Age of the last read up to which items are started. No item may start 3 s after the end of its
+/// job was acknowledged; a start takes a part of the rest.
+const FRESH_TIME: Duration = Duration::from_millis(2_200);
+
 /// Jobs and how far the log was read.
 pub struct JobBoard {
     inner: Mutex<BoardState>,
@@ -109,10 +113,13 @@
         self.inner.lock().expect("not poisoned").loaded
     }
 
-    /// Time since the last read that succeeded was sent.
-    pub fn age(&self) -> Option<Duration> {
+    /// Whether the log was read lately enough to start items: a job that its caller ended may be
+    /// known nowhere else.
+    pub fn is_fresh(&self) -> bool {
         let inner = self.inner.lock().expect("not poisoned");
-        inner.read_sent.map(|sent| sent.elapsed())
+        inner
+            .read_sent
+            .is_some_and(|sent| sent.elapsed() <= FRESH_TIME)
     }
 
     /// Looks at the jobs.
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
+use crate::batch::board::JobBoard;
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
 use crate::placing::PlaceFinder;
@@ -37,6 +38,8 @@
     pub places: Arc<PlaceFinder>,
     /// How they are spoken to.
     pub codec: UpstreamCodec,
+    /// Tells whether ends of jobs would be known here.
+    pub board: Arc<JobBoard>,
     /// Held by the item that looks for a place: items take turns in the order of their start.
     pub turn: Mutex<()>,
 }
@@ -100,6 +103,9 @@
     }
 
     async fn step(&mut self) -> ItemStep {
+        if !self.path.board.is_fresh() {
+            return ItemStep::Wait;
+        }
         let Some(route) = (self.find_route)() else {
             self.note_end("the route is gone");
             return ItemStep::End(ItemEnd::Errored);
--- a/crates/serve/src/placing.rs
+++ b/crates/serve/src/placing.rs
@@ -12,7 +12,9 @@
 use amaranth_kernel::place_desk::{DeskUpstream, GiveWayOrder, PlaceDesk};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
-use amaranth_wire::place_message::{PlaceDemand, PlaceMessage, PlaceReply};
+use amaranth_wire::place_message::{
+    PlaceCounts, PlaceDemand, PlaceMessage, PlaceQuestion, PlaceReply,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
@@ -40,6 +42,34 @@
 /// Result of opening the socket.
 pub type Result<T> = io::Result<T>;
 
+/// Questions whose places are not counted yet, with those that still wait for an answer.
+type PendingQuestions = HashMap<u64, Option<oneshot::Sender<PlaceReply>>>;
+
+/// A question, until its place is counted or its caller has gone.
+struct OpenQuestion<'a> {
+    pending: &'a Mutex<PendingQuestions>,
+    number: u64,
+}
+
+impl<'a> OpenQuestion<'a> {
+    fn new(
+        pending: &'a Mutex<PendingQuestions>,
+        number: u64,
+        sender: oneshot::Sender<PlaceReply>,
+    ) -> Self {
+        let mut open = pending.lock().expect("not poisoned");
+        open.insert(number, Some(sender));
+        Self { pending, number }
+    }
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        let mut open = self.pending.lock().expect("not poisoned");
+        open.remove(&self.number);
+    }
+}
+
 /// Finds places.
 pub struct PlaceFinder {
     /// The upstreams.
@@ -48,7 +78,7 @@
     socket: UdpSocket,
     members: RwLock<Vec<MemberName>>,
     desk: Mutex<PlaceDesk>,
-    pending: Mutex<HashMap<u64, oneshot::Sender<PlaceReply>>>,
+    pending: Mutex<PendingQuestions>,
     suspects: Mutex<HashMap<SocketAddr, Instant>>,
     number: AtomicU64,
     sequence: AtomicU64,
@@ -90,17 +120,38 @@
         excluded: &[UpstreamId],
     ) -> PoolStep {
         let excluded = self.pool.with_unavailable(group, excluded);
-        let reply = self.ask(group, demand, &excluded).await;
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let question = PlaceQuestion {
+            member: self.member.to_string(),
+            number,
+            demand,
+        };
+        let (sender, receiver) = oneshot::channel();
+        let open = OpenQuestion::new(&self.pending, number, sender);
+        let reply = self.ask(group, question, receiver, &excluded).await;
+        let step = self.settle(reply, group, demand, &excluded);
+        // The place is counted by now.
+        drop(open);
+        step
+    }
+
+    fn settle(
+        &self,
+        reply: Option<PlaceReply>,
+        group: &UpstreamGroupId,
+        demand: PlaceDemand,
+        excluded: &[UpstreamId],
+    ) -> PoolStep {
         match reply {
             Some(PlaceReply::Granted { upstream, load }) => {
                 let batch = demand == PlaceDemand::Batch;
                 match self.pool.take(&upstream, load, batch) {
                     Some(place) => PoolStep::Send(place),
-                    None => self.pool.choose(group, demand, &excluded),
+                    None => self.pool.choose(group, demand, excluded),
                 }
             }
             Some(PlaceReply::Refused { retry_after_ms }) => PoolStep::Refuse { retry_after_ms },
-            Some(PlaceReply::NoUpstream) | None => self.pool.choose(group, demand, &excluded),
+            Some(PlaceReply::NoUpstream) | None => self.pool.choose(group, demand, excluded),
         }
     }
 
@@ -121,32 +172,24 @@
     async fn ask(
         &self,
         group: &UpstreamGroupId,
-        demand: PlaceDemand,
+        question: PlaceQuestion,
+        receiver: oneshot::Receiver<PlaceReply>,
         excluded: &[UpstreamId],
     ) -> Option<PlaceReply> {
         let desks = self.desks(group);
         let desk = desks.iter().find(|desk| !self.is_suspect(desk.address))?;
         if *desk == self.member {
-            let (reply, order) = self.answer(&self.member.data_centre, group, demand, excluded);
+            let (reply, order) = self.answer(&self.member.data_centre, group, &question, excluded);
             self.send_order(order).await;
             return Some(reply);
         }
-        let number = self.number.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.pending
-            .lock()
-            .expect("not poisoned")
-            .insert(number, sender);
         let message = PlaceMessage::Ask {
-            member: self.member.to_string(),
-            number,
+            question,
             group: group.clone(),
-            demand,
             excluded: excluded.to_vec(),
         };
         self.send(&message, desk.address).await;
         let reply = timeout(ASK_LIMIT, receiver).await;
-        self.pending.lock().expect("not poisoned").remove(&number);
         if let Ok(Ok(reply)) = reply {
             return Some(reply);
         }
@@ -175,7 +218,7 @@
         &self,
         data_centre: &DataCentreId,
         group: &UpstreamGroupId,
-        demand: PlaceDemand,
+        question: &PlaceQuestion,
         excluded: &[UpstreamId],
     ) -> (PlaceReply, Option<GiveWayOrder>) {
         let serving = self.pool.serving(group, excluded).into_iter();
@@ -186,7 +229,7 @@
         });
         let upstreams: Vec<_> = upstreams.collect();
         let mut desk = self.desk.lock().expect("not poisoned");
-        desk.ask(&upstreams, demand, steady_ms(), &mut rand::rng())
+        desk.ask(&upstreams, question, steady_ms(), &mut rand::rng())
     }
 
     async fn send_order(&self, order: Option<GiveWayOrder>) {
@@ -246,15 +289,14 @@
                 desk.note_counts(member, sequence, counts, steady_ms());
             }
             PlaceMessage::Ask {
-                member,
-                number,
+                question,
                 group,
-                demand,
                 excluded,
-            } => match member.parse::<MemberName>() {
+            } => match question.member.parse::<MemberName>() {
                 Ok(member) => {
+                    let number = question.number;
                     let (reply, order) =
-                        self.answer(&member.data_centre, &group, demand, &excluded);
+                        self.answer(&member.data_centre, &group, &question, &excluded);
                     self.send(&PlaceMessage::Reply { number, reply }, from)
                         .await;
                     self.send_order(order).await;
@@ -265,8 +307,8 @@
                 ),
             },
             PlaceMessage::Reply { number, reply } => {
-                let asked = self.pending.lock().expect("not poisoned").remove(&number);
-                if let Some(asked) = asked {
+                let mut pending = self.pending.lock().expect("not poisoned");
+                if let Some(asked) = pending.get_mut(&number).and_then(Option::take) {
                     // Who asked may have stopped waiting a moment ago.
                     let _ = asked.send(reply);
                 }
@@ -294,6 +336,15 @@
         stop.run_until_cancelled(tell).await;
     }
 
+    fn counts(&self) -> PlaceCounts {
+        let pending = self.pending.lock().expect("not poisoned");
+        PlaceCounts {
+            rows: self.pool.counts(),
+            next_question: self.number.load(Ordering::Relaxed),
+            open_questions: pending.keys().copied().collect(),
+        }
+    }
+
     /// Sends the counts; returns whether there were any.
     async fn tell_counts(&self) -> bool {
         let mut desks: Vec<MemberName> = Vec::new();
@@ -302,8 +353,8 @@
         }
         desks.sort();
         desks.dedup();
-        let counts = self.pool.counts();
-        let told_some = !counts.is_empty();
+        let counts = self.counts();
+        let told_some = !counts.rows.is_empty();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let message = PlaceMessage::Counts {
             member: self.member.to_string(),
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -226,6 +226,7 @@
     let path = ItemPath {
         places: places.clone(),
         codec: codecs.upstream,
+        board: board.clone(),
         turn: Mutex::default(),
     };
     let worker_config = WorkerConfig {
--- a/crates/serve/src/topic_follow.rs
+++ b/crates/serve/src/topic_follow.rs
@@ -12,7 +12,7 @@
 
 /// Wait for entries in one read. Short, because a connection that went silent shows only when a
 /// read is overdue, and configuration must be in force within 2 s of its acknowledgement.
-const READ_WAIT: Duration = Duration::from_millis(1_500);
+const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause after a failed read, doubled up to eight times.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Doublings of the pause.
--- a/crates/wire/src/place_message.rs
+++ b/crates/wire/src/place_message.rs
@@ -17,6 +17,35 @@
     pub service_ms: u32,
 }
 
+/// All that one instance has in flight.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceCounts {
+    /// By upstream, without zeros.
+    pub rows: Vec<PlaceCount>,
+    /// Number of its next question.
+    pub next_question: u64,
+    /// Earlier questions whose places are not among the rows yet.
+    pub open_questions: Vec<u64>,
+}
+
+impl PlaceCounts {
+    /// Whether a place that was granted for a question is among the rows, or was given back.
+    pub fn covers(&self, question: u64) -> bool {
+        question < self.next_question && !self.open_questions.contains(&question)
+    }
+}
+
+/// Who asks for a place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceQuestion {
+    /// The instance's member name.
+    pub member: String,
+    /// Number of the question among this member's.
+    pub number: u64,
+    /// What for.
+    pub demand: PlaceDemand,
+}
+
 /// What a place is asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceDemand {
@@ -57,19 +86,15 @@
         member: String,
         /// Grows with each message of a member.
         sequence: u64,
-        /// Its counts, without zeros.
-        counts: Vec<PlaceCount>,
+        /// What it has in flight.
+        counts: PlaceCounts,
     },
     /// Asks for a place.
     Ask {
-        /// The instance's member name.
-        member: String,
-        /// Number of the question.
-        number: u64,
+        /// The question.
+        question: PlaceQuestion,
         /// The group.
         group: UpstreamGroupId,
-        /// What for.
-        demand: PlaceDemand,
         /// Upstreams that it may not be.
         excluded: Vec<UpstreamId>,
     },
