--- a/crates/kernel/src/job_book.rs
+++ b/crates/kernel/src/job_book.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use amaranth_wire::batch_entry::{BatchEntry, ItemEnd, SubmittedItem, SubmittedJob};
+use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemEnd, SubmittedJob};
 use amaranth_wire::id::{ItemId, JobId, LogOffset};
 
 /// One job.
@@ -49,10 +49,14 @@
         self.first.contains_key(item)
     }
 
-    /// An item as submitted.
-    pub fn item(&self, item: &ItemId) -> Option<&SubmittedItem> {
-        let items = &self.submission()?.items;
-        items.iter().find(|submitted| submitted.id == *item)
+    /// Where the bodies and outputs lie.
+    pub fn blobs(&self) -> Vec<BlobRef> {
+        let outputs = self.ends.values().filter_map(|(_, end)| match end {
+            ItemEnd::Succeeded(blob) => Some(blob.clone()),
+            ItemEnd::Errored => None,
+        });
+        let bodies = self.submission().map(|job| job.bodies.clone());
+        bodies.into_iter().chain(outputs).collect()
     }
 
     fn add_end(&mut self, offset: LogOffset, item: ItemId, end: ItemEnd) {
--- a/crates/kernel/tests/job_book.rs
+++ b/crates/kernel/tests/job_book.rs
@@ -1,7 +1,7 @@
 //! The fold of batch entries does not depend on the order in which they arrive.
 
 use amaranth_kernel::job_book::JobBook;
-use amaranth_wire::batch_entry::{BatchEntry, ItemEnd, SubmittedItem, SubmittedJob};
+use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemEnd, SubmittedItem, SubmittedJob};
 use amaranth_wire::id::{JobId, LogOffset};
 use proptest::prelude::*;
 
@@ -11,12 +11,20 @@
     "job".parse().unwrap()
 }
 
+fn blob(key: &str) -> BlobRef {
+    BlobRef {
+        key: key.to_owned(),
+        offset: LogOffset(0),
+        records: 1,
+        bytes: 1,
+    }
+}
+
 fn submitted(received_ms: u64) -> BatchEntry {
     let item = |index: usize| SubmittedItem {
         id: format!("item{index}").parse().unwrap(),
         path: "/p/1".to_owned(),
         headers: Vec::new(),
-        body: vec![index as u8],
         tokens: 1,
     };
     BatchEntry::Submitted(SubmittedJob {
@@ -25,6 +33,7 @@
         path: "/p/".to_owned(),
         received_ms,
         items: (0..ITEMS).map(item).collect(),
+        bodies: blob("bodies"),
     })
 }
 
@@ -32,7 +41,7 @@
     BatchEntry::ItemEnded {
         job: job_id(),
         item: format!("item{item}").parse().unwrap(),
-        end: ItemEnd::Succeeded(text.to_owned()),
+        end: ItemEnd::Succeeded(blob(text)),
     }
 }
 
--- a/crates/serve/src/batch/board.rs
+++ b/crates/serve/src/batch/board.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::batch::pieces::{PieceAssembly, PieceStep};
-use crate::log_access::{DurableLog, LogEntry, LogTopic, Result};
+use crate::log_access::{DurableLog, LogEntry, LogRead, LogTopic, Result};
 use crate::topic_follow::FollowStep;
 
 /// Age of the last read up to which items are started. No item may start 3 s after the end of its
@@ -143,7 +143,7 @@
         loop {
             let from = self.inner.lock().expect("not poisoned").next;
             let sent = Instant::now();
-            let slice = (log.read)((LogTopic::Batch, from, Duration::ZERO)).await?;
+            let slice = (log.read)(LogRead::new(LogTopic::Batch, from)).await?;
             let at_end = slice.entries.is_empty();
             self.apply(FollowStep::Append(slice.entries), Some(slice.next), sent);
             if at_end {
--- a/crates/serve/src/batch/commit.rs
+++ b/crates/serve/src/batch/commit.rs
@@ -4,19 +4,20 @@
 use std::time::Duration;
 
 use amaranth_wire::batch_entry::BatchEntry;
+use amaranth_wire::id::LogOffset;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::pieces;
-use crate::log_access::{DurableLog, LogError, NewEntry};
+use crate::log_access::{DurableLog, LogError, LogTopic, NewEntry};
 
 /// Entries that wait for an append; more means that the log can't be reached.
 const QUEUE_ENTRIES: usize = 4_096;
 /// Time in which entries that can wait are gathered: results are read every half second.
 const GATHER: Duration = Duration::from_millis(60);
 
-type Outcome = Result<(), LogError>;
+type Outcome = Result<LogOffset, LogError>;
 
 struct QueuedEntry {
     records: Vec<NewEntry>,
@@ -24,7 +25,7 @@
     done: oneshot::Sender<Outcome>,
 }
 
-/// Appends entries. Cheap to clone.
+/// Appends entries to one topic. Cheap to clone.
 #[derive(Clone)]
 pub struct BatchCommitter {
     queue: mpsc::Sender<QueuedEntry>,
@@ -33,10 +34,10 @@
 
 impl BatchCommitter {
     /// A committer whose task runs until the token is cancelled.
-    pub fn new(log: Arc<DurableLog>, stop: CancellationToken) -> Self {
+    pub fn new(log: Arc<DurableLog>, topic: LogTopic, stop: CancellationToken) -> Self {
         let (queue, entries) = mpsc::channel(QUEUE_ENTRIES);
         let entry_bytes = log.entry_bytes;
-        tokio::spawn(async move { stop.run_until_cancelled(run(log, entries)).await });
+        tokio::spawn(async move { stop.run_until_cancelled(run(log, topic, entries)).await });
         Self { queue, entry_bytes }
     }
 
@@ -46,7 +47,7 @@
         self.append_records(records, urgent).await
     }
 
-    /// Appends records.
+    /// Appends records; returns the offset of the first.
     pub async fn append_records(&self, records: Vec<NewEntry>, urgent: bool) -> Outcome {
         let (done, outcome) = oneshot::channel();
         let queued = QueuedEntry {
@@ -61,7 +62,7 @@
     }
 }
 
-async fn run(log: Arc<DurableLog>, mut entries: mpsc::Receiver<QueuedEntry>) {
+async fn run(log: Arc<DurableLog>, topic: LogTopic, mut entries: mpsc::Receiver<QueuedEntry>) {
     let mut held = None;
     loop {
         let first = match held.take() {
@@ -75,7 +76,7 @@
             sleep(GATHER).await;
         }
         let mut records = first.records;
-        let mut waiting = vec![first.done];
+        let mut waiting = vec![(0, first.done)];
         let mut bytes = size(&records);
         while let Ok(next) = entries.try_recv() {
             let more = size(&next.records);
@@ -84,13 +85,14 @@
                 break;
             }
             bytes += more;
+            waiting.push((records.len() as u64, next.done));
             records.extend(next.records);
-            waiting.push(next.done);
         }
-        let outcome = (log.append)(records).await.map(|_| ());
-        for done in waiting {
+        let outcome = (log.append)((topic, records)).await;
+        for (index, done) in waiting {
+            let offset = outcome.clone().map(|first| LogOffset(first.0 + index));
             // Whoever no longer waits for the outcome does not need it.
-            let _ = done.send(outcome.clone());
+            let _ = done.send(offset);
         }
     }
 }
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -7,7 +7,7 @@
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{ItemEnd, SubmittedItem};
+use amaranth_wire::batch_entry::{BlobRef, SubmittedItem};
 use amaranth_wire::id::{JobId, UpstreamGroupId};
 use amaranth_wire::place_message::PlaceDemand;
 use bytes::Bytes;
@@ -17,7 +17,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::attempt::{AttemptLimits, AttemptStep, ForwardRequest, attempt};
+use crate::batch::blobs::BlobStore;
 use crate::batch::board::JobBoard;
+use crate::batch::reading::body_of;
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
 use crate::placing::PlaceFinder;
@@ -38,52 +40,69 @@
     pub places: Arc<PlaceFinder>,
     /// How they are spoken to.
     pub codec: UpstreamCodec,
+    /// Bodies and outputs.
+    pub blobs: Arc<BlobStore>,
     /// Tells whether ends of jobs would be known here.
     pub board: Arc<JobBoard>,
     /// Held by the item that looks for a place: items take turns in the order of their start.
     pub turn: Mutex<()>,
 }
 
+/// An item that waits for its first run.
+pub struct ItemStart {
+    /// Its job.
+    pub job: JobId,
+    /// The item.
+    pub item: SubmittedItem,
+    /// Its place in the job.
+    pub index: usize,
+    /// Where the bodies of the job's items lie.
+    pub bodies: BlobRef,
+    /// Host of the route.
+    pub host: String,
+    /// Path that the job was sent to.
+    pub path: String,
+    /// When the job was received, in milliseconds of Unix time.
+    pub received_ms: u64,
+}
+
 /// One item that runs.
 pub struct ItemRun {
     path: Arc<ItemPath>,
-    job: JobId,
-    item: SubmittedItem,
-    host: String,
-    received_ms: u64,
+    start: ItemStart,
+    body: Option<Bytes>,
     find_route: RouteFinder,
     texts: Vec<String>,
     last_event: Option<u64>,
     failures: u32,
 }
 
+/// How an item ended, with its output.
+pub enum ItemRunEnd {
+    /// With its whole output.
+    Succeeded(String),
+    /// Without.
+    Errored,
+}
+
 async fn pause() {
     let factor = rand::rng().random_range(0.5..1.5);
     sleep(ROOM_PAUSE.mul_f64(factor)).await;
 }
 
 enum ItemStep {
-    End(ItemEnd),
+    End(ItemRunEnd),
     Again,
     Wait,
 }
 
 impl ItemRun {
-    /// An item of a job that was received at this time.
-    pub fn new(
-        path: Arc<ItemPath>,
-        job: JobId,
-        item: SubmittedItem,
-        host: String,
-        received_ms: u64,
-        find_route: RouteFinder,
-    ) -> Self {
+    /// An item that was not run yet.
+    pub fn new(path: Arc<ItemPath>, start: ItemStart, find_route: RouteFinder) -> Self {
         Self {
             path,
-            job,
-            item,
-            host,
-            received_ms,
+            start,
+            body: None,
             find_route,
             texts: Vec::new(),
             last_event: None,
@@ -92,7 +111,7 @@
     }
 
     /// Runs until the item has an end.
-    pub async fn run(mut self) -> ItemEnd {
+    pub async fn run(mut self) -> ItemRunEnd {
         loop {
             match self.step().await {
                 ItemStep::End(end) => return end,
@@ -108,11 +127,11 @@
         }
         let Some(route) = (self.find_route)() else {
             self.note_end("the route is gone");
-            return ItemStep::End(ItemEnd::Errored);
+            return ItemStep::End(ItemRunEnd::Errored);
         };
         if self.is_given_up(&route) {
             self.note_end("given up");
-            return ItemStep::End(ItemEnd::Errored);
+            return ItemStep::End(ItemRunEnd::Errored);
         }
         let Some(group) = route.group(rand::rng().random()) else {
             return ItemStep::Wait;
@@ -147,13 +166,23 @@
         let RouteKind::Batch { give_up_ms, .. } = route.kind else {
             return false;
         };
-        unix_ms() > self.received_ms.saturating_add(give_up_ms)
+        unix_ms() > self.start.received_ms.saturating_add(give_up_ms)
     }
 
     async fn attempt(&mut self, place: UpstreamPlace, route: &RouteRule) -> ItemStep {
+        if self.body.is_none() {
+            let (bodies, index) = (&self.start.bodies, self.start.index);
+            match body_of(&self.path.blobs, bodies, index).await {
+                Ok(body) => self.body = Some(body.into()),
+                Err(why) => {
+                    self.note_break("none", &why);
+                    return ItemStep::Wait;
+                }
+            }
+        }
         let Some(request) = self.request() else {
             self.note_end("the item names no request");
-            return ItemStep::End(ItemEnd::Errored);
+            return ItemStep::End(ItemRunEnd::Errored);
         };
         let limits = AttemptLimits {
             head_by: Instant::now() + SILENCE_LIMIT,
@@ -181,7 +210,7 @@
         if status == StatusCode::UNPROCESSABLE_ENTITY {
             self.note_end("the upstream can't do it");
             place.note_success(None);
-            return ItemStep::End(ItemEnd::Errored);
+            return ItemStep::End(ItemRunEnd::Errored);
         }
         if !status.is_success() {
             self.failures += 1;
@@ -189,7 +218,7 @@
             self.note_break(place.upstream.as_str(), &why);
             if status == StatusCode::INTERNAL_SERVER_ERROR && self.failures >= route.max_attempts {
                 self.note_end("it failed too often");
-                return ItemStep::End(ItemEnd::Errored);
+                return ItemStep::End(ItemRunEnd::Errored);
             }
             return ItemStep::Wait;
         }
@@ -197,7 +226,7 @@
             Ok(()) => {
                 place.note_success(None);
                 answer.finish();
-                ItemStep::End(ItemEnd::Succeeded(self.texts.join("\n")))
+                ItemStep::End(ItemRunEnd::Succeeded(self.texts.join("\n")))
             }
             Err(why) => {
                 place.note_failure();
@@ -235,25 +264,28 @@
 
     fn request(&self) -> Option<ForwardRequest> {
         let mut headers = HeaderMap::new();
-        for (name, value) in &self.item.headers {
+        for (name, value) in &self.start.item.headers {
             let name: HeaderName = name.parse().ok()?;
             headers.insert(name, HeaderValue::from_str(value).ok()?);
         }
-        headers.insert(http::header::HOST, HeaderValue::from_str(&self.host).ok()?);
+        headers.insert(
+            http::header::HOST,
+            HeaderValue::from_str(&self.start.host).ok()?,
+        );
         Some(ForwardRequest {
-            id: self.item.id.as_str().parse().ok()?,
+            id: self.start.item.id.as_str().parse().ok()?,
             method: Method::POST,
-            path: self.item.path.clone(),
+            path: self.start.item.path.clone(),
             headers,
-            body: Bytes::from(self.item.body.clone()),
+            body: self.body.clone().unwrap_or_default(),
         })
     }
 
     fn note_break(&self, upstream: &str, why: &str) {
         log::info!(
             "event=item_attempt_failed job={} item={} upstream={upstream} why={} last_event={:?} failures={}",
-            self.job,
-            self.item.id,
+            self.start.job,
+            self.start.item.id,
             quote(why),
             self.last_event,
             self.failures,
@@ -263,8 +295,8 @@
     fn note_end(&self, why: &str) {
         log::info!(
             "event=item_errored job={} item={} why={}",
-            self.job,
-            self.item.id,
+            self.start.job,
+            self.start.item.id,
             quote(why)
         );
     }
--- a/crates/serve/src/batch/mod.rs
+++ b/crates/serve/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs on the durable log: accepted once, run by one instance at a time, readable
 //! everywhere.
 
+pub mod blobs;
 pub mod board;
 pub mod commit;
 pub mod intake;
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -6,15 +6,16 @@
 
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{BatchEntry, ItemEnd, SubmittedItem};
+use amaranth_wire::batch_entry::{BatchEntry, ItemEnd};
 use amaranth_wire::id::{ItemId, JobId};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::batch::blobs::BlobStore;
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
-use crate::batch::item_run::{ItemPath, ItemRun, RouteFinder};
+use crate::batch::item_run::{ItemPath, ItemRun, ItemRunEnd, ItemStart, RouteFinder};
 use crate::batch::shards::ShardHold;
 use crate::log_access::NewEntry;
 
@@ -51,14 +52,6 @@
     cancel: CancellationToken,
 }
 
-struct StartItem {
-    job: JobId,
-    item: SubmittedItem,
-    host: String,
-    path: String,
-    received_ms: u64,
-}
-
 impl BatchWorker {
     /// A worker on these parts.
     pub fn new(
@@ -114,7 +107,7 @@
     }
 
     /// Items that wait for their first run, the oldest jobs first.
-    fn startable(&self) -> Vec<StartItem> {
+    fn startable(&self) -> Vec<ItemStart> {
         let running = self.running.lock().expect("not poisoned");
         let count: usize = running.values().map(|job| job.items.len()).sum();
         let room = MAX_RUNNING.saturating_sub(count);
@@ -130,14 +123,17 @@
                 let runs = running.get(id);
                 let known_for =
                     Duration::from_millis(now_ms.saturating_sub(submission.received_ms));
-                let waiting = submission.items.iter().filter(move |item| {
+                let items = submission.items.iter().enumerate();
+                let waiting = items.filter(move |(_, item)| {
                     !job.is_item_done(&item.id)
                         && !runs.is_some_and(|runs| runs.items.contains(&item.id))
                         && self.shards.may_run(item.id.as_str(), known_for)
                 });
-                waiting.map(move |item| StartItem {
+                waiting.map(move |(index, item)| ItemStart {
                     job: id.clone(),
                     item: item.clone(),
+                    index,
+                    bodies: submission.bodies.clone(),
                     host: submission.host.clone(),
                     path: submission.path.clone(),
                     received_ms: submission.received_ms,
@@ -147,7 +143,7 @@
         })
     }
 
-    fn start(&self, start: StartItem, stop: &CancellationToken) {
+    fn start(&self, start: ItemStart, stop: &CancellationToken) {
         let mut running = self.running.lock().expect("not poisoned");
         let job = running.entry(start.job.clone()).or_default();
         job.items.insert(start.item.id.clone());
@@ -155,19 +151,14 @@
         drop(running);
         let (id, item) = (start.job.clone(), start.item.id.clone());
         let find_route = (self.config.find_route)(&start.host, &start.path);
-        let run = ItemRun::new(
-            self.path.clone(),
-            start.job,
-            start.item,
-            start.host,
-            start.received_ms,
-            find_route,
-        );
+        let run = ItemRun::new(self.path.clone(), start, find_route);
         let (committer, board) = (self.committer.clone(), self.board.clone());
+        let blobs = self.path.blobs.clone();
         let (running, stop) = (self.running.clone(), stop.clone());
         self.tasks.spawn(async move {
             let work = async {
                 let end = run.run().await;
+                let end = keep_output(&blobs, &id, end).await;
                 commit(&committer, &board, &id, &item, end).await;
             };
             stop.run_until_cancelled(cancel.run_until_cancelled(work))
@@ -197,9 +188,18 @@
         let records = self.board.keys(&id).into_iter();
         let records: Vec<_> = records.map(|key| NewEntry { key, value: None }).collect();
         let committer = self.committer.clone();
+        let blobs = self.path.blobs.clone();
+        let refs = self
+            .board
+            .look(|book| book.job(&id).map(|job| job.blobs()).unwrap_or_default());
         log::info!("event=job_deleted job={id} records={}", records.len());
         self.tasks.spawn(async move {
-            if let Err(e) = committer.append_records(records, false).await {
+            // The job is found as long as its own records stand, and is deleted again then.
+            let deleted = match blobs.delete(&refs).await {
+                Ok(()) => committer.append_records(records, false).await.map(|_| ()),
+                Err(e) => Err(e),
+            };
+            if let Err(e) = deleted {
                 log::warn!("event=job_not_deleted job={id} error={:?}", e.to_string());
             }
         });
@@ -216,6 +216,25 @@
     }
 }
 
+/// Appends an item's output until it is on the log.
+async fn keep_output(blobs: &BlobStore, job: &JobId, end: ItemRunEnd) -> ItemEnd {
+    let ItemRunEnd::Succeeded(text) = end else {
+        return ItemEnd::Errored;
+    };
+    loop {
+        match blobs.put(job, text.clone().into_bytes(), false).await {
+            Ok(blob) => return ItemEnd::Succeeded(blob),
+            Err(e) => {
+                log::info!(
+                    "event=output_not_kept job={job} why={}",
+                    quote(&e.to_string())
+                );
+                sleep(APPEND_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Appends an item's end until it is on the log. A try whose outcome is unknown may have been
 /// done: the next one has a key of its own, and the first on the log counts.
 async fn commit(
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use amaranth_wire::batch_entry::{ItemEnd, SubmittedItem};
+use amaranth_wire::batch_entry::SubmittedItem;
 use amaranth_wire::id::{ItemId, JobId, RequestId, UpstreamId};
 use bytes::Bytes;
 use http::request::Parts;
@@ -56,7 +56,25 @@
     /// Position after the last result of the page.
     pub next: usize,
     /// The results.
-    pub results: Vec<(ItemId, ItemEnd)>,
+    pub results: Vec<(ItemId, ItemOutcome)>,
+}
+
+/// How an item ended, as its caller reads it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ItemOutcome {
+    /// With its whole output.
+    Succeeded(String),
+    /// Without.
+    Errored,
+}
+
+/// The items of a job and the bodies of their requests, in the same order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ItemList {
+    /// The items.
+    pub items: Vec<SubmittedItem>,
+    /// The bodies.
+    pub bodies: Vec<Vec<u8>>,
 }
 
 /// Reads calls and writes answers.
@@ -65,7 +83,7 @@
     /// Reads a call from its head.
     pub read_call: fn(&Parts) -> CallerCall,
     /// Reads the items of a job.
-    pub read_items: fn(&Bytes) -> std::result::Result<Vec<SubmittedItem>, String>,
+    pub read_items: fn(&Bytes) -> std::result::Result<ItemList, String>,
     /// Writes a page of results.
     pub write_page: fn(&ResultPage) -> Bytes,
     /// Most bytes of the results of a page.
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use amaranth_kernel::route_table::{RouteKind, RouteRule, RouteTable};
-use amaranth_net::clock::unix_ms;
-use amaranth_wire::batch_entry::SubmittedJob;
 use amaranth_wire::id::RequestId;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
@@ -18,12 +16,10 @@
 
 use crate::answer::{Answer, GiveUp, plain};
 use crate::attempt::{ForwardRequest, strip_connection_headers};
-use crate::batch::board::JobBoard;
-use crate::batch::commit::BatchCommitter;
-use crate::batch::{intake, reading};
-use crate::call::{CallMarks, CallerCall, CallerCodec};
+use crate::batch::intake::{self, JobIntake, ReceivedJob};
+use crate::batch::reading::JobReader;
+use crate::call::{CallMarks, CallerCall};
 use crate::forward_run::ForwardPath;
-use crate::log_access::DurableLog;
 use crate::online;
 use crate::route_state::RouteState;
 
@@ -36,14 +32,10 @@
     pub routes: Arc<RouteState>,
     /// Online requests.
     pub forward: Arc<ForwardPath>,
-    /// Batch jobs.
-    pub board: Arc<JobBoard>,
-    /// Appends to the log.
-    pub committer: BatchCommitter,
-    /// Reads of the log.
-    pub log: Arc<DurableLog>,
-    /// How callers speak.
-    pub codec: CallerCodec,
+    /// Takes batch jobs.
+    pub intake: JobIntake,
+    /// Reads batch jobs.
+    pub reader: JobReader,
     leaving: AtomicBool,
 }
 
@@ -52,18 +44,14 @@
     pub fn new(
         routes: Arc<RouteState>,
         forward: Arc<ForwardPath>,
-        board: Arc<JobBoard>,
-        committer: BatchCommitter,
-        log: Arc<DurableLog>,
-        codec: CallerCodec,
+        intake: JobIntake,
+        reader: JobReader,
     ) -> Self {
         Self {
             routes,
             forward,
-            board,
-            committer,
-            log,
-            codec,
+            intake,
+            reader,
             leaving: AtomicBool::new(false),
         }
     }
@@ -78,26 +66,20 @@
         !self.leaving.load(Ordering::Relaxed)
             && self.routes.revision().is_some()
             && !self.forward.places.pool.is_empty()
-            && self.board.is_loaded()
+            && self.intake.board.is_loaded()
     }
 
     /// Answers a call.
     pub async fn answer(&self, call: Request<Incoming>) -> Answer {
         let (parts, body) = call.into_parts();
-        let mut answer = match (self.codec.read_call)(&parts) {
+        let mut answer = match (self.reader.codec.read_call)(&parts) {
             CallerCall::Forward(marks) => self.forward(parts, body, marks).await,
-            CallerCall::ReadJob { job, after, wait } => {
-                reading::results(&self.board, &self.log, &self.codec, job, after, wait).await
-            }
-            CallerCall::ReadItem { job, item } => {
-                reading::item(&self.board, &self.log, job, item).await
-            }
-            CallerCall::EndJob { job } => {
-                match reading::check(&self.board, &self.log, &job).await {
-                    None => intake::end(&self.board, &self.committer, job).await,
-                    Some(answer) => answer,
-                }
-            }
+            CallerCall::ReadJob { job, after, wait } => self.reader.results(job, after, wait).await,
+            CallerCall::ReadItem { job, item } => self.reader.item(job, item).await,
+            CallerCall::EndJob { job } => match self.reader.check(&job).await {
+                None => intake::end(&self.intake.board, &self.intake.committer, job).await,
+                Some(answer) => answer,
+            },
             CallerCall::Malformed(why) => {
                 log::info!("event=call_malformed why={why:?}");
                 GiveUp::Malformed(why).answer()
@@ -165,8 +147,8 @@
     }
 
     async fn submit(&self, parts: &Parts, body: Bytes, request: RequestId) -> Answer {
-        let items = match (self.codec.read_items)(&body) {
-            Ok(items) => items,
+        let list = match (self.reader.codec.read_items)(&body) {
+            Ok(list) => list,
             Err(why) => {
                 log::info!("event=job_malformed job={request} why={why:?}");
                 return GiveUp::Malformed(why).answer();
@@ -180,14 +162,13 @@
             .get(HOST)
             .and_then(|host| host.to_str().ok())
             .unwrap_or("");
-        let job = SubmittedJob {
+        let received = ReceivedJob {
             job,
             host: host.to_owned(),
             path: parts.uri.path().to_owned(),
-            received_ms: unix_ms(),
-            items,
+            list,
         };
-        intake::submit(&self.board, &self.committer, job).await
+        self.intake.submit(received).await
     }
 
     /// Answers the balancer's question.
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -40,8 +40,10 @@
     Configuration,
     /// Announcements of upstreams, written by these.
     Upstreams,
-    /// Batch jobs and their results, written by the instances.
+    /// Batch jobs and the ends of their items, written by the instances and read by all.
     Batch,
+    /// Bodies and outputs of items, read where they are asked for.
+    Blobs,
 }
 
 impl fmt::Display for LogTopic {
@@ -50,6 +52,7 @@
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
             Self::Batch => "batch",
+            Self::Blobs => "blobs",
         })
     }
 }
@@ -74,6 +77,43 @@
     pub next: LogOffset,
 }
 
+/// A read of entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogRead {
+    /// The topic.
+    pub topic: LogTopic,
+    /// Offset of the first entry.
+    pub from: LogOffset,
+    /// Longest wait for it.
+    pub wait: Duration,
+    /// Most bytes; `None` for the usual page.
+    pub most_bytes: Option<u64>,
+}
+
+impl LogRead {
+    /// A read of a usual page that does not wait.
+    pub fn new(topic: LogTopic, from: LogOffset) -> Self {
+        Self {
+            topic,
+            from,
+            wait: Duration::ZERO,
+            most_bytes: None,
+        }
+    }
+
+    /// Waits for the first entry.
+    pub fn with_wait(mut self, wait: Duration) -> Self {
+        self.wait = wait;
+        self
+    }
+
+    /// Reads at most so many bytes.
+    pub fn with_most_bytes(mut self, most_bytes: u64) -> Self {
+        self.most_bytes = Some(most_bytes);
+        self
+    }
+}
+
 /// An entry to append.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NewEntry {
@@ -107,12 +147,14 @@
 
 /// The calls on the log.
 pub struct DurableLog {
-    /// Reads entries from an offset on; waits up to the given time for the first.
-    pub read: Call<(LogTopic, LogOffset, Duration), LogSlice>,
+    /// Reads entries.
+    pub read: Call<LogRead, LogSlice>,
+    /// A page of the newest entries whose keys follow the given one, in the order of the keys.
+    pub newest_after: Call<(LogTopic, String), Vec<LogEntry>>,
     /// The newest entry of every key, and the offset to read on from.
     pub newest: Call<LogTopic, LogSlice>,
-    /// Appends entries to the batch topic, all or none.
-    pub append: Call<Vec<NewEntry>, LogOffset>,
+    /// Appends entries to a topic, all or none; returns the offset of the first.
+    pub append: Call<(LogTopic, Vec<NewEntry>), LogOffset>,
     /// Joins the group or stays in it.
     pub join: Call<GroupCall, GroupShards>,
     /// The members of the group that hold shards.
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -15,9 +15,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer::plain;
+use crate::batch::blobs::BlobStore;
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
+use crate::batch::intake::JobIntake;
 use crate::batch::item_run::{ItemPath, RouteFinder};
+use crate::batch::reading::JobReader;
 use crate::batch::shards::ShardHold;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
 use crate::call::{CallerCodec, UpstreamCodec};
@@ -207,7 +210,9 @@
     let routes = Arc::new(RouteState::new());
     let pool = places.pool.clone();
     let board = Arc::new(JobBoard::new());
-    let committer = BatchCommitter::new(log.clone(), work.clone());
+    let committer = BatchCommitter::new(log.clone(), LogTopic::Batch, work.clone());
+    let blob_committer = BatchCommitter::new(log.clone(), LogTopic::Blobs, work.clone());
+    let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
     let listed = places.clone();
     let on_members = Box::new(move |members| set_members(&listed, members));
     let member = places.member().to_string();
@@ -226,6 +231,7 @@
     let path = ItemPath {
         places: places.clone(),
         codec: codecs.upstream,
+        blobs: blobs.clone(),
         board: board.clone(),
         turn: Mutex::default(),
     };
@@ -242,14 +248,18 @@
     );
     background.spawn(worker.run(work.clone()));
     let forward = Arc::new(ForwardPath::new(places, codecs.upstream));
-    Arc::new(Gateway::new(
-        routes,
-        forward,
-        board,
+    let intake = JobIntake {
+        board: board.clone(),
         committer,
+        blobs: blobs.clone(),
+    };
+    let reader = JobReader {
+        board,
         log,
-        codecs.caller,
-    ))
+        blobs,
+        codec: codecs.caller,
+    };
+    Arc::new(Gateway::new(routes, forward, intake, reader))
 }
 
 /// Takes over the list of members. Names that can't be read belong to other versions.
--- a/crates/serve/src/topic_follow.rs
+++ b/crates/serve/src/topic_follow.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::log_access::{DurableLog, LogEntry, LogError, LogTopic};
+use crate::log_access::{DurableLog, LogEntry, LogError, LogRead, LogTopic};
 
 /// Wait for entries in one read. Short, because a connection that went silent shows only when a
 /// read is overdue, and configuration must be in force within 2 s of its acknowledgement.
@@ -105,7 +105,7 @@
         from: LogOffset,
     ) -> crate::log_access::Result<LogOffset> {
         let sent = Instant::now();
-        let slice = (log.read)((self.topic, from, READ_WAIT)).await?;
+        let slice = (log.read)(LogRead::new(self.topic, from).with_wait(READ_WAIT)).await?;
         let came = !slice.entries.is_empty();
         (self.apply)(FollowStep::Append(slice.entries), sent);
         if came {
--- a/crates/wire/src/batch_entry.rs
+++ b/crates/wire/src/batch_entry.rs
@@ -2,7 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ItemId, JobId};
+use crate::id::{ItemId, JobId, LogOffset};
+
+/// Where bytes lie that are read only where they are asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlobRef {
+    /// Key of their records, without the number of the record.
+    pub key: String,
+    /// Offset of the first record; the others follow it.
+    pub offset: LogOffset,
+    /// Number of records.
+    pub records: u32,
+    /// Number of bytes.
+    pub bytes: u64,
+}
+
+impl BlobRef {
+    /// Key of a record.
+    pub fn record_key(&self, index: u32) -> String {
+        format!("{}/{index}", self.key)
+    }
+}
 
 /// One item as its caller submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,9 +33,6 @@
     pub path: String,
     /// Headers of the request.
     pub headers: Vec<(String, String)>,
-    /// Body of the request.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
     /// Tokens of the prompt and most tokens of the answer together.
     pub tokens: u64,
 }
@@ -33,13 +50,19 @@
     pub received_ms: u64,
     /// Its items.
     pub items: Vec<SubmittedItem>,
+    /// The bodies of their requests, as [`ItemBodies`].
+    pub bodies: BlobRef,
 }
 
+/// The bodies of a job's items, in the order of the items.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemBodies(pub Vec<serde_bytes::ByteBuf>);
+
 /// How an item ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemEnd {
     /// With its whole output: the data of all events, joined by line feeds.
-    Succeeded(String),
+    Succeeded(BlobRef),
     /// Without: it can't be done, failed too often, or was given up.
     Errored,
 }
