--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 
+use amaranth_kernel::hashing::hash_bytes;
 use amaranth_wire::batch_entry::BlobRef;
 use amaranth_wire::id::{JobId, LogOffset};
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 
 /// Most bytes that are kept: a small part of the smallest machine's 96 MB.
 const CACHE_BYTES: usize = 3 << 20;
+/// Blobs that are read at once at the most: far over what a machine's link carries.
+const READ_SHARDS: u64 = 16;
 /// Bytes of a record besides its content: lengths and key.
 const RECORD_OVERHEAD: usize = 260;
 
@@ -21,6 +24,8 @@
     log: Arc<DurableLog>,
     committer: BatchCommitter,
     cache: Mutex<BlobCache>,
+    /// Held while a blob is read, by the hash of its key: who else wants it finds it kept.
+    reads: Vec<tokio::sync::Mutex<()>>,
 }
 
 #[derive(Default)]
@@ -57,6 +62,9 @@
             log,
             committer,
             cache: Mutex::default(),
+            reads: (0..READ_SHARDS)
+                .map(|_| tokio::sync::Mutex::default())
+                .collect(),
         }
     }
 
@@ -107,14 +115,9 @@
 
     /// Reads a blob.
     pub async fn get(&self, blob: &BlobRef) -> Result<Bytes> {
-        let kept = self
-            .cache
-            .lock()
-            .expect("not poisoned")
-            .blobs
-            .get(&blob.key)
-            .cloned();
-        if let Some(kept) = kept {
+        let shard = hash_bytes(blob.key.as_bytes(), 0) % READ_SHARDS;
+        let _read = self.reads[shard as usize].lock().await;
+        if let Some(kept) = self.kept(&blob.key) {
             return Ok(kept);
         }
         let bytes = match self.read_by_offset(blob).await {
@@ -128,6 +131,11 @@
         Ok(bytes)
     }
 
+    fn kept(&self, key: &str) -> Option<Bytes> {
+        let cache = self.cache.lock().expect("not poisoned");
+        cache.blobs.get(key).cloned()
+    }
+
     async fn read_by_offset(&self, blob: &BlobRef) -> Result<Bytes> {
         let most = blob.bytes + (RECORD_OVERHEAD as u64) * u64::from(blob.records);
         let read = LogRead::new(LogTopic::Blobs, blob.offset).with_most_bytes(most);
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -23,6 +23,7 @@
 use crate::call::UpstreamCodec;
 use crate::connection_book::OpenAnswer;
 use crate::placing::PlaceFinder;
+use crate::route_state::RouteSight;
 use crate::upstream_pool::{PoolStep, UpstreamPlace};
 
 /// Longest silence of an upstream before its connection is given up: an engine that preempts an
@@ -32,7 +33,7 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(100);
 
 /// Finds the route of an item in the configuration in force.
-pub type RouteFinder = Arc<dyn Fn() -> Option<Arc<RouteRule>> + Send + Sync>;
+pub type RouteFinder = Arc<dyn Fn() -> RouteSight + Send + Sync>;
 
 /// What running items needs.
 pub struct ItemPath {
@@ -125,9 +126,13 @@
         if !self.path.board.is_fresh() {
             return ItemStep::Wait;
         }
-        let Some(route) = (self.find_route)() else {
-            self.note_end("the route is gone");
-            return ItemStep::End(ItemRunEnd::Errored);
+        let route = match (self.find_route)() {
+            RouteSight::Found(route) => route,
+            RouteSight::Unknown => return ItemStep::Wait,
+            RouteSight::Gone => {
+                self.note_end("the route is gone");
+                return ItemStep::End(ItemRunEnd::Errored);
+            }
         };
         if self.is_given_up(&route) {
             self.note_end("given up");
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -250,6 +250,14 @@
         end,
     };
     let is_done = || board.look(|book| book.job(job).is_some_and(|job| job.is_item_done(item)));
+    let succeeded = matches!(
+        &entry,
+        BatchEntry::ItemEnded {
+            end: ItemEnd::Succeeded(_),
+            ..
+        }
+    );
+    log::info!("event=item_ended job={job} item={item} succeeded={succeeded}");
     while let Err(e) = committer.append(&entry, false).await {
         let reason = e.to_string();
         log::info!(
--- a/crates/serve/src/route_state.rs
+++ b/crates/serve/src/route_state.rs
@@ -45,7 +45,24 @@
     }
 
     /// The route of a host and path.
-    pub fn find(&self, host: &str, path: &str) -> Option<Arc<RouteRule>> {
-        self.current()?.find(host, path).cloned()
+    pub fn find(&self, host: &str, path: &str) -> RouteSight {
+        match self.current() {
+            None => RouteSight::Unknown,
+            Some(table) => match table.find(host, path) {
+                Some(route) => RouteSight::Found(route.clone()),
+                None => RouteSight::Gone,
+            },
+        }
     }
 }
+
+/// What is known of a route.
+#[derive(Debug, Clone)]
+pub enum RouteSight {
+    /// This process has no configuration yet.
+    Unknown,
+    /// The configuration in force has none.
+    Gone,
+    /// The route.
+    Found(Arc<RouteRule>),
+}
