Ask the second desk before placing alone; leave a silent upstream within the objective

Change: both desks are asked in turn; a stream at a free slot must begin within 0.6 of its objective while another attempt is left. Removed what nothing used: the followers' hurry, groups' connection caps, routes' priority.

--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -66,8 +66,6 @@
     pub objective_ms: u64,
     /// Most upstreams that may run one request.
     pub max_attempts: u32,
-    /// Rank; 0 goes first.
-    pub priority: u32,
 }
 
 impl RouteRule {
@@ -86,15 +84,6 @@
     }
 }
 
-/// What is known of a group of upstreams.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GroupRule {
-    /// The group.
-    pub group: UpstreamGroupId,
-    /// Connections that each of its upstreams accepts from all instances together.
-    pub max_connections: u32,
-}
-
 /// Bounds on what callers send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -116,17 +105,11 @@
     /// Bounds on what callers send.
     pub limits: CallerLimits,
     hosts: HashMap<String, Vec<Arc<RouteRule>>>,
-    groups: HashMap<UpstreamGroupId, GroupRule>,
 }
 
 impl RouteTable {
     /// A table of these routes.
-    pub fn new(
-        revision: ConfigRevision,
-        limits: CallerLimits,
-        routes: Vec<RouteRule>,
-        groups: Vec<GroupRule>,
-    ) -> Self {
+    pub fn new(revision: ConfigRevision, limits: CallerLimits, routes: Vec<RouteRule>) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<RouteRule>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -135,12 +118,10 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let groups = groups.into_iter().map(|rule| (rule.group.clone(), rule));
         Self {
             revision,
             limits,
             hosts,
-            groups: groups.collect(),
         }
     }
 
@@ -153,17 +134,6 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Whether any route is of this host.
-    pub fn knows_host(&self, host: &str) -> bool {
-        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        self.hosts.contains_key(&name)
-    }
-
-    /// The rule of a group.
-    pub fn group(&self, group: &UpstreamGroupId) -> Option<&GroupRule> {
-        self.groups.get(group)
-    }
-
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/kernel/tests/route_table.rs
+++ b/crates/kernel/tests/route_table.rs
@@ -17,7 +17,6 @@
         timeout_ms: 1_000,
         objective_ms: 100,
         max_attempts: 2,
-        priority: 0,
     }
 }
 
@@ -33,7 +32,7 @@
         route("deep", "a.example", "/x/y/", &[("two", 1)]),
         route("other", "b.example", "/x/", &[("three", 1)]),
     ];
-    RouteTable::new(ConfigRevision(7), limits, routes, Vec::new())
+    RouteTable::new(ConfigRevision(7), limits, routes)
 }
 
 #[test]
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -23,6 +23,9 @@
 /// Waits for the head of a repeatable request's answer, in objectives: an upstream that is silent
 /// for longer than a queue within the objective explains is left for another one.
 const HEAD_OBJECTIVES: u32 = 3;
+/// Share of the objective in which a stream at a free slot must begin: usual ones begin within a
+/// third, and as much is left for another upstream.
+const FREE_SLOT_SHARE: f64 = 0.6;
 /// Least of these waits: callers leave a stream that is silent for 2 s, so another upstream must
 /// have answered by then.
 const MIN_HEAD_WAIT: Duration = Duration::from_millis(1_000);
@@ -124,7 +127,7 @@
     ) -> Result<(OpenAnswer, UpstreamPlace), GiveUp> {
         loop {
             let place = self.choose(resume_after.is_some()).await?;
-            let limits = self.limits(resume_after);
+            let limits = self.limits(resume_after, place.is_free);
             let path = self.path.clone();
             let step = attempt(&path.places.pool, &path.codec, place, &self.request, limits).await;
             let (why, upstream, proof) = match step {
@@ -213,9 +216,9 @@
         }
     }
 
-    fn limits(&self, resume_after: Option<u64>) -> AttemptLimits {
+    fn limits(&self, resume_after: Option<u64>, is_free: bool) -> AttemptLimits {
         let head_by = match self.is_repeatable() && self.may_attempt_again() {
-            true => (Instant::now() + self.silence_limit()).min(self.deadline),
+            true => (Instant::now() + self.head_wait(is_free)).min(self.deadline),
             false => self.deadline,
         };
         AttemptLimits {
@@ -225,6 +228,16 @@
         }
     }
 
+    /// Longest wait for the head of an answer. A stream at a free slot begins within a part of
+    /// its objective; an upstream that has died is left early enough for another to be on time.
+    fn head_wait(&self, is_free: bool) -> Duration {
+        let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
+        match is_stream && is_free && self.count == AttemptCount::default() {
+            true => Duration::from_millis(self.route.objective_ms).mul_f64(FREE_SLOT_SHARE),
+            false => self.silence_limit(),
+        }
+    }
+
     fn may_attempt_again(&self) -> bool {
         self.count.may_have_run + 1 < self.route.max_attempts
     }
--- a/crates/serve/src/placing.rs
+++ b/crates/serve/src/placing.rs
@@ -1,5 +1,6 @@
 //! Finds places at upstreams. For each group of upstreams one instance hands out the places; it
-//! is asked by datagram. Where it does not answer in time, this instance places by itself.
+//! is asked by datagram, and a second one where it does not answer in time. Where neither does,
+//! this instance places by itself.
 
 use std::collections::HashMap;
 use std::io;
@@ -70,6 +71,12 @@
     }
 }
 
+/// A desk's answer, with the question that is open until its place is counted.
+struct Granting<'a> {
+    reply: PlaceReply,
+    _open: OpenQuestion<'a>,
+}
+
 /// Finds places.
 pub struct PlaceFinder {
     /// The upstreams.
@@ -120,19 +127,10 @@
         excluded: &[UpstreamId],
     ) -> PoolStep {
         let excluded = self.pool.with_unavailable(group, excluded);
-        let number = self.number.fetch_add(1, Ordering::Relaxed);
-        let question = PlaceQuestion {
-            member: self.member.to_string(),
-            number,
-            demand,
-        };
-        let (sender, receiver) = oneshot::channel();
-        let open = OpenQuestion::new(&self.pending, number, sender);
-        let reply = self.ask(group, question, receiver, &excluded).await;
-        let step = self.settle(reply, group, demand, &excluded);
-        // The place is counted by now.
-        drop(open);
-        step
+        let granting = self.ask(group, demand, &excluded).await;
+        let reply = granting.as_ref().map(|granting| granting.reply.clone());
+        // The question stays open until the place is counted here.
+        self.settle(reply, group, demand, &excluded)
     }
 
     fn settle(
@@ -169,15 +167,43 @@
         order.into_iter().take(DESKS).cloned().collect()
     }
 
+    /// Asks the desks of a group, one after the other.
     async fn ask(
         &self,
         group: &UpstreamGroupId,
+        demand: PlaceDemand,
+        excluded: &[UpstreamId],
+    ) -> Option<Granting<'_>> {
+        for desk in self.desks(group) {
+            if self.is_suspect(desk.address) {
+                continue;
+            }
+            let number = self.number.fetch_add(1, Ordering::Relaxed);
+            let (sender, receiver) = oneshot::channel();
+            let open = OpenQuestion::new(&self.pending, number, sender);
+            let question = PlaceQuestion {
+                member: self.member.to_string(),
+                number,
+                demand,
+            };
+            if let Some(reply) = self
+                .ask_desk(&desk, group, question, receiver, excluded)
+                .await
+            {
+                return Some(Granting { reply, _open: open });
+            }
+        }
+        None
+    }
+
+    async fn ask_desk(
+        &self,
+        desk: &MemberName,
+        group: &UpstreamGroupId,
         question: PlaceQuestion,
         receiver: oneshot::Receiver<PlaceReply>,
         excluded: &[UpstreamId],
     ) -> Option<PlaceReply> {
-        let desks = self.desks(group);
-        let desk = desks.iter().find(|desk| !self.is_suspect(desk.address))?;
         if *desk == self.member {
             let (reply, order) = self.answer(&self.member.data_centre, group, &question, excluded);
             self.send_order(order).await;
@@ -189,21 +215,15 @@
             excluded: excluded.to_vec(),
         };
         self.send(&message, desk.address).await;
-        let reply = timeout(ASK_LIMIT, receiver).await;
-        if let Ok(Ok(reply)) = reply {
+        if let Ok(Ok(reply)) = timeout(ASK_LIMIT, receiver).await {
             return Some(reply);
         }
-        log::info!(
-            "event=desk_silent group={group} desk={} ms={}",
-            desk.instance,
-            ASK_LIMIT.as_millis()
-        );
+        let (name, ms) = (&desk.instance, ASK_LIMIT.as_millis());
+        log::info!("event=desk_silent group={group} desk={name} ms={ms}");
         metrics::counter!("desk_silent_total").increment(1);
         let until = Instant::now() + SUSPECT_TIME;
-        self.suspects
-            .lock()
-            .expect("not poisoned")
-            .insert(desk.address, until);
+        let mut suspects = self.suspects.lock().expect("not poisoned");
+        suspects.insert(desk.address, until);
         None
     }
 
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -9,7 +9,7 @@
 use amaranth_net::telemetry;
 use amaranth_wire::id::{DataCentreId, InstanceId, UpstreamId};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -300,7 +300,6 @@
     TopicFollower {
         topic: LogTopic::Configuration,
         pace: Duration::ZERO,
-        hurry: Arc::new(Notify::new()),
         apply: Box::new(apply),
     }
 }
@@ -324,7 +323,6 @@
     TopicFollower {
         topic: LogTopic::Upstreams,
         pace: UPSTREAM_PACE,
-        hurry: Arc::new(Notify::new()),
         apply: Box::new(apply),
     }
 }
@@ -367,7 +365,6 @@
     TopicFollower {
         topic: LogTopic::Batch,
         pace: BATCH_PACE,
-        hurry: Arc::new(Notify::new()),
         apply: Box::new(move |step, sent| board.apply(step, None, sent)),
     }
 }
--- a/crates/serve/src/topic_follow.rs
+++ b/crates/serve/src/topic_follow.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use amaranth_wire::id::LogOffset;
-use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -33,8 +32,6 @@
     pub topic: LogTopic,
     /// Least time between two reads: entries that arrive within it are read together.
     pub pace: Duration,
-    /// Ends the pause early.
-    pub hurry: Arc<Notify>,
     /// Takes in what was read; called with the time at which the read was sent.
     pub apply: Box<dyn FnMut(FollowStep, Instant) + Send>,
 }
@@ -109,10 +106,7 @@
         let came = !slice.entries.is_empty();
         (self.apply)(FollowStep::Append(slice.entries), sent);
         if came {
-            tokio::select! {
-                () = sleep(self.pace.saturating_sub(sent.elapsed())) => {}
-                () = self.hurry.notified() => {}
-            }
+            sleep(self.pace.saturating_sub(sent.elapsed())).await;
         }
         Ok(slice.next)
     }
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -44,6 +44,8 @@
     pub key: ConnectionKey,
     /// Its estimated load when it was chosen.
     pub load: f64,
+    /// Whether a slot should be free at once.
+    pub is_free: bool,
     batch: Option<(u64, CancellationToken)>,
     pool: Arc<UpstreamPool>,
 }
@@ -168,6 +170,7 @@
             address: notice.address,
             owner: upstream.to_string(),
         };
+        let is_free = load < f64::from(notice.slots);
         drop(registry);
         let mut tracks = self.tracks.lock().expect("not poisoned");
         let track = tracks.entry(upstream.clone()).or_default();
@@ -180,6 +183,7 @@
             upstream: upstream.clone(),
             key,
             load,
+            is_free,
             batch: batch.then(|| self.note_batch_run(upstream)),
             pool: self.clone(),
         })
