--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -80,7 +80,7 @@
                 return Some(&share.group);
             }
         }
-        weighted.last().map(|share| &share.group)
+        weighted.map(|share| &share.group).next_back()
     }
 }
 
--- a/crates/kernel/tests/job_book.rs
+++ b/crates/kernel/tests/job_book.rs
@@ -58,10 +58,10 @@
     sorted.sort_by_key(|(offset, _)| *offset);
     let mut results: Vec<(String, ItemEnd)> = Vec::new();
     for (_, entry) in sorted {
-        if let BatchEntry::ItemEnded { item, end, .. } = entry {
-            if results.iter().all(|(known, _)| *known != item.to_string()) {
-                results.push((item.to_string(), end));
-            }
+        if let BatchEntry::ItemEnded { item, end, .. } = entry
+            && results.iter().all(|(known, _)| *known != item.to_string())
+        {
+            results.push((item.to_string(), end));
         }
     }
     results
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -42,7 +42,7 @@
 /// How an attempt ended before its answer's body.
 pub enum AttemptStep {
     /// The upstream answers.
-    Answer(OpenAnswer, UpstreamPlace),
+    Answer(Box<OpenAnswer>, UpstreamPlace),
     /// Provably not run.
     NotRun {
         /// Why.
@@ -157,7 +157,7 @@
         let why = format!("the answer names request {:?}", marks.request);
         return AttemptStep::Broken { why, upstream };
     }
-    AttemptStep::Answer(answer, place)
+    AttemptStep::Answer(Box::new(answer), place)
 }
 
 /// Most bytes of the body of a refusal.
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -35,6 +35,9 @@
 /// Finds the route of an item in the configuration in force.
 pub type RouteFinder = Arc<dyn Fn() -> RouteSight + Send + Sync>;
 
+/// Makes the finder of a job's route, by its host and path.
+pub type RouteFinders = Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync>;
+
 /// What running items needs.
 pub struct ItemPath {
     /// Finds places at upstreams.
@@ -196,7 +199,7 @@
         };
         let path = self.path.clone();
         match attempt(&path.places.pool, &path.codec, place, &request, limits).await {
-            AttemptStep::Answer(answer, place) => self.read(answer, place, route).await,
+            AttemptStep::Answer(answer, place) => self.read(*answer, place, route).await,
             AttemptStep::NotRun { .. } => ItemStep::Wait,
             AttemptStep::Broken { why, upstream } => {
                 self.note_break(upstream.as_str(), &why);
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -15,7 +15,7 @@
 use crate::batch::blobs::BlobStore;
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
-use crate::batch::item_run::{ItemPath, ItemRun, ItemRunEnd, ItemStart, RouteFinder};
+use crate::batch::item_run::{ItemPath, ItemRun, ItemRunEnd, ItemStart, RouteFinders};
 use crate::batch::shards::ShardHold;
 use crate::log_access::NewEntry;
 
@@ -30,7 +30,7 @@
 /// What the worker needs of the configuration.
 pub struct WorkerConfig {
     /// Finds the route of a job by its host and path.
-    pub find_route: Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync>,
+    pub find_route: RouteFinders,
     /// How long a job is readable after its submission.
     pub retention: Duration,
 }
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -136,7 +136,7 @@
                         let why = format!("answered {}", answer.status().as_u16());
                         (why, place.upstream.clone(), FailureProof::MayHaveRun)
                     } else {
-                        return Ok((answer, place));
+                        return Ok((*answer, place));
                     }
                 }
                 AttemptStep::NotRun { why, upstream } => (why, upstream, FailureProof::NotRun),
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -19,7 +19,7 @@
 use crate::batch::board::JobBoard;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::intake::JobIntake;
-use crate::batch::item_run::{ItemPath, RouteFinder};
+use crate::batch::item_run::{ItemPath, RouteFinders};
 use crate::batch::reading::JobReader;
 use crate::batch::shards::ShardHold;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
@@ -81,6 +81,9 @@
     pub batch_retention: Duration,
 }
 
+/// An upstream with its announcement.
+pub type NamedNotice = (UpstreamId, UpstreamNotice);
+
 /// How an adapter's protocol is read and written.
 #[derive(Clone, Copy)]
 pub struct ProtocolCodecs {
@@ -91,7 +94,7 @@
     /// Reads a configuration entry; `None` for keys that hold something else.
     pub read_configuration: fn(&str, &[u8]) -> std::result::Result<Option<RouteTable>, String>,
     /// Reads an upstream's announcement.
-    pub read_notice: fn(&str, &[u8]) -> std::result::Result<(UpstreamId, UpstreamNotice), String>,
+    pub read_notice: fn(&str, &[u8]) -> std::result::Result<NamedNotice, String>,
 }
 
 /// Called when the process is told that its settings changed.
@@ -274,7 +277,7 @@
     places.set_members(names.into_iter().flatten().collect());
 }
 
-fn route_finders(routes: Arc<RouteState>) -> Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync> {
+fn route_finders(routes: Arc<RouteState>) -> RouteFinders {
     Arc::new(move |host, path| {
         let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
         Arc::new(move || routes.find(&host, &path))
