Listen on any free port and tell which, so that tests cannot take each other's ports

Ruled out: slowness (30 s of patience; the process had ended at bind). Change: the instance takes port 0 and writes event=listening with its addresses; tests read these.

--- a/crates/serve/src/placing.rs
+++ b/crates/serve/src/placing.rs
@@ -92,9 +92,10 @@
 }
 
 impl PlaceFinder {
-    /// A finder that takes datagrams at its member's address.
-    pub async fn open(pool: Arc<UpstreamPool>, member: MemberName) -> Result<Self> {
+    /// A finder that takes datagrams at its member's address; port 0 stands for any free one.
+    pub async fn open(pool: Arc<UpstreamPool>, mut member: MemberName) -> Result<Self> {
         let socket = UdpSocket::bind(member.address).await?;
+        member.address = socket.local_addr()?;
         Ok(Self {
             pool,
             members: RwLock::new(vec![member.clone()]),
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -125,6 +125,13 @@
     let background = TaskTracker::new();
     let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
     let places = Arc::new(PlaceFinder::open(pool, member_name(&config)).await?);
+    log::info!(
+        "event=listening instance={} callers={} probes={} peers={}",
+        config.instance,
+        callers.local_addr()?,
+        probes.local_addr()?,
+        places.member().address
+    );
     let gateway = build(&config, places, Arc::new(log), codecs, &work, &background);
 
     let answering = gateway.clone();
