--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -57,16 +57,6 @@
         })
     }
 
-    /// Number of shards held.
-    pub fn len(&self) -> usize {
-        self.held.lock().expect("not poisoned").len()
-    }
-
-    /// Whether none is held.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Stays in the group until the token is cancelled, then leaves it.
     pub async fn run(self: Arc<Self>, log: Arc<DurableLog>, stop: CancellationToken) {
         while !stop.is_cancelled() {
