Catch up with the log before answering for a job that may have ended elsewhere

Cause: an instance gave a job's results from its own fold, so one that was behind the log gave fewer lines, with 200, than another that had already shown the job as completed; a job or file accepted elsewhere a moment ago was "not found". This is the failure once seen in local::both_examples_keep_every_promise ("reads differently at another instance"). Ruled out: results out of order or lost on the log (the other instance read them whole before and after). Change: a query for an unknown job or file, or for results of a job not known to have ended, first folds up to the head of the log; 503 if it can't.

--- a/crates/entry/src/batch_intake.rs
+++ b/crates/entry/src/batch_intake.rs
@@ -88,6 +88,7 @@
     if batch_view::with_job(context, &team, &job, |_| ()).is_ok() {
         return Ok(answer::json(200, &batch_view::view(context, &team, &job)?));
     }
+    files::reach_file(context, &team, &job).await?;
     let stored = files::stored_upload(context, &team, &job)?;
     let deadline_ms = unix_ms().saturating_add(window_ms);
     seal(context, &team, &job, stored, deadline_ms).await
--- a/crates/entry/src/batch_view.rs
+++ b/crates/entry/src/batch_view.rs
@@ -27,10 +27,10 @@
 use crate::batch_upload::ITEM_ENDPOINT;
 use crate::context::{InstanceContext, Result};
 use crate::item_reader::ItemPiece;
+use crate::{files, follower};
 
 /// Items whose results are read and sent together.
 const PART_ITEMS: u32 = 256;
-use crate::files;
 
 /// Jobs on one page of a list that names no limit.
 const DEFAULT_LISTED: usize = 20;
@@ -92,18 +92,42 @@
 pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
+    reach_job(&context, &team, &job).await?;
     Ok(answer::json(200, &view(&context, &team, &job)?))
 }
 
+/// Catches up with the log if a job is not known here, as it may have been accepted elsewhere.
+pub async fn reach_job(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<()> {
+    match with_job(context, team, job, |_| ()) {
+        Ok(()) => Ok(()),
+        Err(_) => follower::reach_head(context).await,
+    }
+}
+
+/// Catches up with the log unless a job is known to have ended, as its end may have been shown
+/// elsewhere.
+async fn reach_results(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<()> {
+    let has_ended = |state: &JobState| state.report(job).phase != JobPhase::InProgress;
+    match with_job(context, team, job, has_ended) {
+        Ok(true) => Ok(()),
+        Ok(false) | Err(_) => follower::reach_head(context).await,
+    }
+}
+
 /// Handles a query for a job's results.
 pub async fn results(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
-    results_of(&context, &team, job)
+    results_of(&context, &team, job).await
 }
 
 /// The results of a job, as a stream of JSON lines.
-pub fn results_of(context: &Arc<InstanceContext>, team: &TeamId, job: JobId) -> Result<Response> {
+pub async fn results_of(
+    context: &Arc<InstanceContext>,
+    team: &TeamId,
+    job: JobId,
+) -> Result<Response> {
+    reach_results(context, team, &job).await?;
     let plan = with_job(context, team, &job, ResultPlan::new)?;
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
     context
@@ -124,6 +148,7 @@
 pub async fn cancel(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     let team = context.callers.team(&request)?;
     let job = parse_job(request.param(0))?;
+    reach_job(&context, &team, &job).await?;
     with_job(&context, &team, &job, |_| ())?;
     let command: CommandId = format!("cancel-{:016x}", rand::random::<u64>())
         .parse()
--- a/crates/entry/src/files.rs
+++ b/crates/entry/src/files.rs
@@ -24,8 +24,8 @@
 use crate::accept::TIER_HEADER;
 use crate::batch_intake::{batch_reader, commit, job_id, key_conflict, parse_key};
 use crate::batch_upload::{BatchUpload, StoredUpload};
-use crate::batch_view;
 use crate::context::{InstanceContext, Result};
+use crate::{batch_view, follower};
 
 const JOB_PREFIX: &str = "batch_";
 const FILE_PREFIX: &str = "file-";
@@ -90,8 +90,14 @@
 pub async fn show(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     let team = context.callers.team(&request)?;
     let view = match parse_file(request.param(0))? {
-        (job, FileRole::Input) => view(&context, &team, &job)?,
-        (job, FileRole::Output) => output_view(&context, &team, &job)?,
+        (job, FileRole::Input) => {
+            reach_file(&context, &team, &job).await?;
+            view(&context, &team, &job)?
+        }
+        (job, FileRole::Output) => {
+            batch_view::reach_job(&context, &team, &job).await?;
+            output_view(&context, &team, &job)?
+        }
     };
     Ok(answer::json(200, &view))
 }
@@ -100,7 +106,7 @@
 pub async fn content(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
     let team = context.callers.team(&request)?;
     match parse_file(request.param(0))? {
-        (job, FileRole::Output) => batch_view::results_of(&context, &team, job),
+        (job, FileRole::Output) => batch_view::results_of(&context, &team, job).await,
         (job, FileRole::Input) => {
             view(&context, &team, &job)?;
             let message = "inputs are not given back; results are";
@@ -109,6 +115,14 @@
     }
 }
 
+/// Catches up with the log if a file is not known here, as it may have been stored elsewhere.
+pub async fn reach_file(context: &InstanceContext, team: &TeamId, job: &JobId) -> Result<()> {
+    match with_file(context, team, job, |_| ()) {
+        Ok(()) => Ok(()),
+        Err(_) => follower::reach_head(context).await,
+    }
+}
+
 /// The job that an input file makes.
 pub fn job_of_input(file: &FileId) -> Result<JobId> {
     match parse_file(file.as_str())? {
--- a/crates/entry/src/follower.rs
+++ b/crates/entry/src/follower.rs
@@ -5,17 +5,21 @@
 
 use amaranth_kernel::cursor::EntryVerdict;
 use amaranth_net::telemetry::quote;
+use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::LogOffset;
 use amaranth_wire::platform::RawEntry;
 use amaranth_wire::record::{BatchEntry, RecordBatch};
 use tokio::time::sleep;
 
-use crate::context::InstanceContext;
+use crate::context::{InstanceContext, Result};
 use crate::log_relay::{self, RelayReply};
 use crate::state_source;
 
 /// Wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Longest wait of a query for this instance to reach the head of the log. A relay that fails costs
+/// its followers one read of at most 3 s.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(4);
 
 /// Follows the log until the instance ends.
 pub async fn run(context: Arc<InstanceContext>) {
@@ -59,6 +63,27 @@
     }
 }
 
+/// Folds up to where the log stands now, so that what another instance has shown is known here.
+pub async fn reach_head(context: &InstanceContext) -> Result<()> {
+    let from = context.state.folded();
+    let unavailable = |e| CallError::new(ErrorKind::LogUnavailable, format!("{e}"));
+    let reply = context.log.read_now(from, 1).await.map_err(unavailable)?;
+    if reply.head <= from {
+        return Ok(());
+    }
+    let last = LogOffset(reply.head.0 - 1);
+    match context.state.wait_folded(last, CATCH_UP_LIMIT).await {
+        true => Ok(()),
+        false => {
+            let message = format!(
+                "this instance is behind the log, at {from} of {}",
+                reply.head
+            );
+            Err(CallError::new(ErrorKind::NotReady, message))
+        }
+    }
+}
+
 /// Folds what a read gave.
 pub fn fold_reply(context: &InstanceContext, relayed: &RelayReply) {
     let reply = &relayed.reply;
--- a/crates/standin/src/local_batch.rs
+++ b/crates/standin/src/local_batch.rs
@@ -123,7 +123,8 @@
         let second = self.read_results(&id).await;
         self.book
             .check(Promise::ResultsReadable, first == second, || {
-                format!("{id} reads differently at another instance")
+                let (one, other) = (first.lines().count(), second.lines().count());
+                format!("{id} reads differently at another instance: {one} and {other} lines")
             });
         Some(JobSummary {
             job: id,
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -127,17 +127,48 @@
     let mut others = fleet.entries.keys().filter(|name| **name != owner);
     let other = others.next().expect("another instance");
     let in_flight = runs(&fleet).await - completed(&fleet, other, &job).await;
+    // The job's new owner starts no sooner than its lease has run out, seconds from here.
+    sleep(Duration::from_millis(300)).await;
+    let sent_late = runs(&fleet).await - completed(&fleet, other, &job).await;
     let ended = fleet.wait_job(other, &job).await;
+    let before_waking = runs(&fleet).await - ITEMS as u64;
     fleet.entries[&owner].signal("CONT");
     assert_eq!(ended["request_counts"]["completed"], json!(ITEMS));
     check_whole(&fleet, &owner, &job).await;
     let again = runs(&fleet).await - ITEMS as u64;
     assert!(
         again <= in_flight,
-        "{again} items ran again, {in_flight} had no result on the log"
+        "{again} items ran again, {in_flight} had no result on the log, {sent_late} of them 0.3 s \
+         after; {before_waking} had run again before the owner went on"
     );
 }
 
+#[tokio::test]
+async fn an_instance_that_is_behind_gives_what_others_have_shown() {
+    let fleet = start_slow().await;
+    let job = submit(&fleet, "entry-1", "behind").await;
+    wait_progress(&fleet, "entry-2", &job, 20).await;
+    let owner = owner_of(&fleet).await;
+    let mut others = fleet.entries.keys().filter(|name| **name != owner);
+    let (behind, other) = (others.next().expect("one"), others.next().expect("two"));
+    fleet.entries[behind].signal("STOP");
+    check_whole(&fleet, other, &job).await;
+    let later = submit_items(&fleet, other, "later", 1).await;
+    fleet.entries[behind].signal("CONT");
+    let results = async |name| {
+        let path = format!("/v1/batches/{job}/results");
+        fleet.get_text(name, &path).await
+    };
+    assert_eq!(results(behind).await, results(other).await);
+    fleet.entries[behind].signal("STOP");
+    let latest = submit_items(&fleet, other, "latest", 1).await;
+    fleet.entries[behind].signal("CONT");
+    for job in [latest, later] {
+        let shown = fleet.get(behind, &format!("/v1/batches/{job}")).await;
+        assert_eq!(shown.expect("an answer").0, 200);
+    }
+}
+
 #[tokio::test]
 async fn a_planned_stop_of_the_owner_runs_nothing_again() {
     let mut fleet = TestFleet::start_with(2, 3, &["--step", "400ms"], &[]).await;
