Serve from a peer's state when the store is away at a start

Cause: an instance that started while the store was away had no configuration and no upstreams, and was neither ready nor able to serve until the store was back. Ruled out: pushing copies to all peers (bytes that grow with the fleet); waiting. Change: every instance keeps the newest entries of configuration and upstreams as the store gave them and shows them with their age on its control address. A starting one that got nothing in 0.3 s asks the seeds of its settings and believes the one that has read last. Batch jobs wait for the store; calls for them are told to come again. Before: process::an_instance_that_starts_while_the_store_is_away_serves_from_its_peers failed ("never: an instance is ready", with the question switched off). After: passed, with all tests of platform/.

--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::call::{CallMarks, CallerCall};
 use crate::forward_run::ForwardPath;
 use crate::online;
-use crate::route_state::RouteState;
+use crate::route_state::{RouteSource, RouteState};
 
 /// Pause that a caller is told while this instance has no configuration, in milliseconds.
 const NO_CONFIGURATION_PAUSE_MS: u64 = 500;
@@ -61,12 +61,16 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Whether this instance wants callers.
+    /// Whether this instance wants callers. Batch jobs are not waited for while the log is away:
+    /// online requests don't need them, and calls for jobs are told to come again.
     pub fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Relaxed)
-            && self.routes.revision().is_some()
             && !self.forward.places.pool.is_empty()
-            && self.intake.board.is_loaded()
+            && match self.routes.source() {
+                None => false,
+                Some(RouteSource::Log) => self.intake.board.is_loaded(),
+                Some(RouteSource::Peer) => true,
+            }
     }
 
     /// Answers a call.
--- a/crates/serve/src/placing.rs
+++ b/crates/serve/src/placing.rs
@@ -114,6 +114,11 @@
         &self.member
     }
 
+    /// The members as they are known here.
+    pub fn members(&self) -> Vec<MemberName> {
+        self.members.read().expect("not poisoned").clone()
+    }
+
     /// Replaces the list of members.
     pub fn set_members(&self, members: Vec<MemberName>) {
         log::info!("event=members_changed count={}", members.len());
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -27,11 +27,12 @@
 use crate::forward_run::ForwardPath;
 use crate::gateway::Gateway;
 use crate::listener::{self, ConnectionLimits};
-use crate::log_access::{DurableLog, LogEntry, LogTopic};
+use crate::log_access::{DurableLog, LogTopic};
 use crate::member_name::MemberName;
+use crate::peer_state::{PEER_STATE_PATH, TopicCopies, start_from_peers};
 use crate::placing::PlaceFinder;
 use crate::route_state::RouteState;
-use crate::topic_follow::{FollowStep, TopicFollower};
+use crate::topic_apply;
 use crate::upstream_pool::UpstreamPool;
 
 /// How long a leaving instance still accepts: the balancer asks once a second and takes an
@@ -39,12 +40,6 @@
 const NOTICE_PERIOD: Duration = Duration::from_millis(2_600);
 /// Kept back from the grace period, so that the process ends before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Pace of reading upstreams' announcements. One that leaves must get no work 2 s later, and
-/// every read costs a call.
-const UPSTREAM_PACE: Duration = Duration::from_millis(400);
-/// Pace of reading batch entries: a result must be readable everywhere 1 s after it was read
-/// somewhere.
-const BATCH_PACE: Duration = Duration::from_millis(300);
 /// Time between two looks for connections that are kept too long.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// Bounds before the configuration is known: those of an ordinary HTTP server.
@@ -69,6 +64,10 @@
     pub probes: SocketAddr,
     /// Where other instances' datagrams come in.
     pub peers: SocketAddr,
+    /// Where other instances ask for state.
+    pub control: SocketAddr,
+    /// Some instances' addresses for such questions; they may be old.
+    pub seeds: Vec<SocketAddr>,
     /// Size of the machine among the instances, in hundredths of a core.
     pub weight: u32,
     /// Path of the balancer's question.
@@ -113,6 +112,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let callers = listener::bind(config.callers)?;
     let probes = listener::bind(config.probes)?;
+    let control = listener::bind(config.control)?;
     log::info!(
         "event=start instance={} data_centre={} version={}",
         config.instance,
@@ -125,14 +125,24 @@
     let background = TaskTracker::new();
     let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
     let places = Arc::new(PlaceFinder::open(pool, member_name(&config)).await?);
+    let copies = Arc::new(TopicCopies::new());
     log::info!(
-        "event=listening instance={} callers={} probes={} peers={}",
+        "event=listening instance={} callers={} probes={} control={} peers={}",
         config.instance,
         callers.local_addr()?,
         probes.local_addr()?,
+        control.local_addr()?,
         places.member().address
     );
-    let gateway = build(&config, places, Arc::new(log), codecs, &work, &background);
+    let gateway = build(
+        &config,
+        places,
+        copies.clone(),
+        Arc::new(log),
+        codecs,
+        &work,
+        &background,
+    );
 
     let answering = gateway.clone();
     let limits = gateway.clone();
@@ -152,6 +162,8 @@
         config.clone(),
         work.clone(),
     ));
+    let peers = gateway.forward.places.clone();
+    tokio::spawn(serve_control(control, peers, copies, work.clone()));
     tokio::spawn(sweep(gateway.forward.places.pool.clone()));
 
     loop {
@@ -212,6 +224,7 @@
 fn build(
     config: &ServeConfig,
     places: Arc<PlaceFinder>,
+    copies: Arc<TopicCopies>,
     log: Arc<DurableLog>,
     codecs: ProtocolCodecs,
     work: &CancellationToken,
@@ -228,10 +241,13 @@
     let member = places.member().to_string();
     let shards = Arc::new(ShardHold::new(member, log.shard_count, on_members));
     let followers = [
-        follow_configuration(routes.clone(), codecs),
-        follow_upstreams(pool.clone(), codecs),
-        follow_batch(board.clone()),
+        topic_apply::follow_configuration(routes.clone(), copies.clone(), codecs),
+        topic_apply::follow_upstreams(pool.clone(), copies.clone(), codecs),
+        topic_apply::follow_batch(board.clone()),
     ];
+    let taker = topic_apply::peer_taker(routes.clone(), places.clone(), codecs);
+    let seeds = config.seeds.clone();
+    background.spawn(start_from_peers(seeds, copies, taker, work.clone()));
     for follower in followers {
         background.spawn(follower.run(log.clone(), work.clone()));
     }
@@ -273,7 +289,7 @@
 }
 
 /// Takes over the list of members. Names that can't be read belong to other versions.
-fn set_members(places: &PlaceFinder, members: Vec<String>) {
+pub(crate) fn set_members(places: &PlaceFinder, members: Vec<String>) {
     let (names, other): (Vec<_>, Vec<_>) = members
         .into_iter()
         .map(|member| member.parse::<MemberName>())
@@ -291,94 +307,6 @@
     })
 }
 
-fn follow_configuration(routes: Arc<RouteState>, codecs: ProtocolCodecs) -> TopicFollower {
-    let apply = move |step, _| {
-        let (FollowStep::Replace(entries) | FollowStep::Append(entries)) = step;
-        for LogEntry { key, value, offset } in entries {
-            let Some(value) = value else { continue };
-            match (codecs.read_configuration)(&key, &value) {
-                Ok(Some(table)) => {
-                    routes.offer(table, "log");
-                }
-                Ok(None) => {}
-                Err(e) => log::warn!(
-                    "event=record_malformed topic=configuration key={key:?} offset={offset} error={e:?}"
-                ),
-            }
-        }
-    };
-    TopicFollower {
-        topic: LogTopic::Configuration,
-        pace: Duration::ZERO,
-        apply: Box::new(apply),
-    }
-}
-
-fn follow_upstreams(pool: Arc<UpstreamPool>, codecs: ProtocolCodecs) -> TopicFollower {
-    let apply = move |step, _| {
-        let (entries, replaces) = match step {
-            FollowStep::Replace(entries) => (entries, true),
-            FollowStep::Append(entries) => (entries, false),
-        };
-        let mut present = Vec::new();
-        for entry in entries {
-            if let Some(upstream) = apply_notice(&pool, codecs, entry) {
-                present.push(upstream);
-            }
-        }
-        if replaces {
-            pool.retain(&present);
-        }
-    };
-    TopicFollower {
-        topic: LogTopic::Upstreams,
-        pace: UPSTREAM_PACE,
-        apply: Box::new(apply),
-    }
-}
-
-/// Takes in an entry; returns the upstream that it announces.
-fn apply_notice(
-    pool: &UpstreamPool,
-    codecs: ProtocolCodecs,
-    entry: LogEntry,
-) -> Option<UpstreamId> {
-    let LogEntry { key, value, offset } = entry;
-    let Some(value) = value else {
-        match key.parse() {
-            Ok(upstream) => pool.remove(&upstream),
-            Err(e) => log::warn!(
-                "event=record_malformed topic=upstreams key={key:?} offset={offset} error={:?}",
-                e.to_string()
-            ),
-        }
-        return None;
-    };
-    match (codecs.read_notice)(&key, &value) {
-        Ok((upstream, notice)) => {
-            pool.announce(upstream.clone(), notice);
-            Some(upstream)
-        }
-        Err(e) => {
-            log::warn!(
-                "event=record_malformed topic=upstreams key={key:?} offset={offset} error={e:?}"
-            );
-            if let Ok(upstream) = key.parse() {
-                pool.remove(&upstream);
-            }
-            None
-        }
-    }
-}
-
-fn follow_batch(board: Arc<JobBoard>) -> TopicFollower {
-    TopicFollower {
-        topic: LogTopic::Batch,
-        pace: BATCH_PACE,
-        apply: Box::new(move |step, sent| board.apply(step, None, sent)),
-    }
-}
-
 fn connection_limits(gateway: &Gateway) -> ConnectionLimits {
     match gateway.routes.current() {
         None => FIRST_LIMITS,
@@ -412,6 +340,24 @@
     listener::serve(listener, || FIRST_LIMITS, answer, TaskTracker::new(), stop).await;
 }
 
+async fn serve_control(
+    listener: tokio::net::TcpListener,
+    places: Arc<PlaceFinder>,
+    copies: Arc<TopicCopies>,
+    stop: CancellationToken,
+) {
+    let answer = move |call: http::Request<hyper::body::Incoming>| {
+        let (places, copies) = (places.clone(), copies.clone());
+        async move {
+            match call.uri().path() {
+                PEER_STATE_PATH => copies.answer(&places.members()),
+                _ => plain(http::StatusCode::NOT_FOUND, ""),
+            }
+        }
+    };
+    listener::serve(listener, || FIRST_LIMITS, answer, TaskTracker::new(), stop).await;
+}
+
 async fn sweep(pool: Arc<UpstreamPool>) {
     loop {
         sleep(SWEEP_PERIOD).await;
