Notice a settings file that changes without a signal; follow a store that moves

Cause: a changed file was read on SIGHUP only, and took effect at the next start. Before: process::a_store_that_moves_is_followed_without_a_signal failed with the looking switched off ("never: the other store is read"). After: passed, with all tests of platform/process.

--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -44,6 +44,9 @@
 /// Time for telling the log how far the items that run here have come: two appends, which take some
 /// 20 ms together, and twenty times that on the slowest days.
 const HAND_OVER_TIME: Duration = Duration::from_millis(400);
+/// Time between two looks at the settings: a change is in force within seconds, and a look takes well
+/// under a millisecond.
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 /// Time between two looks for connections that are kept too long.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// Bounds before the configuration is known: those of an ordinary HTTP server.
@@ -67,7 +70,7 @@
 pub type Result<T> = std::io::Result<T>;
 
 /// What an instance is started with.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServeConfig {
     /// Its name.
     pub instance: InstanceId,
@@ -111,15 +114,24 @@
     pub read_notice: fn(&str, &[u8]) -> std::result::Result<NamedNotice, String>,
 }
 
-/// Called when the process is told that its settings changed.
-pub type ReloadHook = Box<dyn Fn() + Send>;
+/// Why settings are looked at again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReloadCause {
+    /// The process was told to.
+    Signal,
+    /// It looks now and then, as not every change is told.
+    Look,
+}
+
+/// Called when settings are to be looked at again.
+pub type ReloadHook = Box<dyn FnMut(ReloadCause) + Send>;
 
 /// Runs an instance until it is told to stop.
 pub async fn run(
     config: ServeConfig,
     log: DurableLog,
     codecs: ProtocolCodecs,
-    reload: ReloadHook,
+    mut reload: ReloadHook,
 ) -> Result<()> {
     let started = Instant::now();
     let mut terminate = signal(SignalKind::terminate())?;
@@ -184,7 +196,8 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(),
+            _ = hangup.recv() => reload(ReloadCause::Signal),
+            () = sleep(RELOAD_PERIOD) => reload(ReloadCause::Look),
         }
     }
     log::info!(
