Append once more while no reply comes

Change: records are appended again after 100 ms and after another 150 ms, entries under new keys; the first acknowledgement counts, and nothing was done only if every try says so. log_appends_hedged_total counts them. Before: hedged_append::an_append_without_a_reply_is_done_once_more failed without the pauses (Unknown for Ok).

--- a/crates/serve/src/batch/commit.rs
+++ b/crates/serve/src/batch/commit.rs
@@ -5,6 +5,8 @@
 
 use amaranth_wire::batch_entry::BatchEntry;
 use amaranth_wire::id::LogOffset;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -17,6 +19,11 @@
 /// Time in which entries that can wait are gathered: results are read every half second.
 const GATHER: Duration = Duration::from_millis(60);
 
+/// Time without a reply after which records are appended once more, and once again: many times the
+/// usual 4 ms of an append, and little of the 400 ms within which callers are told that a job is
+/// accepted. The limit of a call lies far above that.
+const HEDGE_PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(150)];
+
 type Outcome = Result<LogOffset, LogError>;
 
 struct QueuedEntry {
@@ -88,7 +95,7 @@
             waiting.push((records.len() as u64, next.done));
             records.extend(next.records);
         }
-        let outcome = (log.append)((topic, records)).await;
+        let outcome = append_hedged(&log, topic, records).await;
         for (index, done) in waiting {
             let offset = outcome.clone().map(|first| LogOffset(first.0 + index));
             // Whoever no longer waits for the outcome does not need it.
@@ -97,6 +104,35 @@
     }
 }
 
+/// Appends records, and again under new keys while no reply comes. The first reply that they are on
+/// the log counts; nothing was done only if every try says so.
+async fn append_hedged(log: &DurableLog, topic: LogTopic, records: Vec<NewEntry>) -> Outcome {
+    let mut tries = FuturesUnordered::new();
+    let mut pauses = HEDGE_PAUSES.iter();
+    let mut worst = None;
+    tries.push((log.append)((topic, records.clone())));
+    loop {
+        let pause = pauses.clone().next().copied();
+        tokio::select! {
+            Some(outcome) = tries.next() => match outcome {
+                Ok(offset) => return Ok(offset),
+                Err(e) => {
+                    let unknown = matches!(worst, Some(LogError::Unknown(_)));
+                    if tries.is_empty() {
+                        return Err(if unknown { worst.unwrap_or(e) } else { e });
+                    }
+                    worst = Some(if unknown { worst.unwrap_or(e) } else { e });
+                }
+            },
+            () = sleep(pause.unwrap_or_default()), if pause.is_some() => {
+                pauses.next();
+                metrics::counter!("log_appends_hedged_total").increment(1);
+                tries.push((log.append)((topic, pieces::with_new_keys(topic, &records))));
+            }
+        }
+    }
+}
+
 /// Bytes of records in an append: each has a length, and a key with a length of its own.
 fn size(records: &[NewEntry]) -> usize {
     let record =
--- a/crates/serve/src/batch/pieces.rs
+++ b/crates/serve/src/batch/pieces.rs
@@ -4,11 +4,12 @@
 
 use std::collections::HashMap;
 
+use amaranth_kernel::hashing::hash_bytes;
 use amaranth_wire::batch_entry::BatchEntry;
 use amaranth_wire::id::{JobId, LogOffset};
 use bytes::Bytes;
 
-use crate::log_access::{LogEntry, NewEntry};
+use crate::log_access::{LogEntry, LogTopic, NewEntry};
 
 /// Bytes of a record that its key may take.
 const KEY_BYTES: usize = 255;
@@ -30,6 +31,30 @@
     records.collect()
 }
 
+/// Records to be appended once more. Those of entries get a new key; blobs are found by their keys.
+/// Records without content delete theirs and keep it.
+pub fn with_new_keys(topic: LogTopic, records: &[NewEntry]) -> Vec<NewEntry> {
+    let nonce: u64 = rand::random();
+    let renew = |record: &NewEntry| match (topic, parse_key(&record.key)) {
+        (LogTopic::Batch, Some(key)) if record.value.is_some() => {
+            let PieceKey {
+                entry,
+                index,
+                count,
+                ..
+            } = key;
+            // The old number keeps the entries of one append apart.
+            let old = hash_bytes(entry.as_bytes(), nonce);
+            NewEntry {
+                key: format!("{}/{old:016x}/{index}/{count}", key.job),
+                value: record.value.clone(),
+            }
+        }
+        _ => record.clone(),
+    };
+    records.iter().map(renew).collect()
+}
+
 struct PieceKey<'a> {
     job: &'a str,
     entry: &'a str,
--- /dev/null
+++ b/crates/serve/tests/hedged_append.rs
@@ -0,0 +1,124 @@
+//! Appends whose replies are lost or late.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_serve::batch::commit::BatchCommitter;
+use amaranth_serve::batch::pieces;
+use amaranth_serve::log_access::{DurableLog, LogError, LogTopic, NewEntry, Result};
+use amaranth_wire::batch_entry::BatchEntry;
+use amaranth_wire::id::LogOffset;
+use futures_util::FutureExt;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// What the log does with one try: how long it takes, and the reply.
+type Reply = (u64, Result<LogOffset>);
+
+const NEVER: u64 = 1_200;
+
+fn ok() -> Result<LogOffset> {
+    Ok(LogOffset(7))
+}
+
+fn lost() -> Result<LogOffset> {
+    Err(LogError::Unknown("no answer".to_owned()))
+}
+
+fn refused() -> Result<LogOffset> {
+    Err(LogError::NotDone("later".to_owned()))
+}
+
+fn unused<A, T>()
+-> Box<dyn Fn(A) -> futures_util::future::BoxFuture<'static, Result<T>> + Send + Sync>
+where
+    T: Send + 'static,
+{
+    Box::new(|_| std::future::ready(Err(LogError::NotDone("unused".to_owned()))).boxed())
+}
+
+/// A log that replies as told, and what it was given.
+fn log(replies: Vec<Reply>) -> (Arc<DurableLog>, Arc<Mutex<Vec<Vec<NewEntry>>>>) {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let (given, next) = (seen.clone(), AtomicUsize::new(0));
+    let log = DurableLog {
+        read: unused(),
+        newest_after: unused(),
+        newest: unused(),
+        append: Box::new(move |(_, records)| {
+            given.lock().unwrap().push(records);
+            let (ms, reply) = replies[next.fetch_add(1, Ordering::Relaxed)].clone();
+            async move {
+                sleep(Duration::from_millis(ms)).await;
+                reply
+            }
+            .boxed()
+        }),
+        join: unused(),
+        members: unused(),
+        leave: unused(),
+        shard_count: 1,
+        append_bytes: 1 << 20,
+        entry_bytes: 1 << 18,
+    };
+    (Arc::new(log), seen)
+}
+
+/// Replies to the tries in their order; the outcome, and when it is known, in milliseconds.
+#[tokio::test(start_paused = true)]
+async fn an_append_without_a_reply_is_done_once_more() {
+    let cases = [
+        (vec![(4, ok())], ok(), 4),
+        (vec![(4, refused())], refused(), 4),
+        (vec![(NEVER, lost()), (4, ok())], ok(), 104),
+        (vec![(NEVER, lost()), (NEVER, lost()), (4, ok())], ok(), 254),
+        (vec![(200, ok()), (200, ok())], ok(), 200),
+        (
+            vec![(NEVER, lost()), (4, refused()), (4, refused())],
+            lost(),
+            NEVER,
+        ),
+        (vec![(150, refused()), (100, lost())], lost(), 200),
+        (vec![(150, refused()), (100, refused())], refused(), 200),
+    ];
+    for (replies, expected, after_ms) in cases {
+        let (log, seen) = log(replies.clone());
+        let committer = BatchCommitter::new(log, LogTopic::Batch, CancellationToken::new());
+        let job = "job".parse().unwrap();
+        let entry = BatchEntry::Ended { job };
+        let start = Instant::now();
+        let outcome = committer.append(&entry, true).await;
+        assert_eq!(outcome, expected, "{replies:?}");
+        assert_eq!(start.elapsed().as_millis() as u64, after_ms, "{replies:?}");
+        let seen = seen.lock().unwrap();
+        let mut keys: Vec<_> = seen.iter().map(|records| &records[0].key).collect();
+        keys.sort();
+        keys.dedup();
+        assert_eq!(keys.len(), seen.len(), "a key was used again: {keys:?}");
+    }
+}
+
+#[test]
+fn records_of_one_entry_stay_together_and_blobs_keep_their_keys() {
+    let job: amaranth_wire::id::JobId = "job".parse().unwrap();
+    let entry = |name: &str| NewEntry {
+        key: name.to_owned(),
+        value: Some(vec![1]),
+    };
+    let records = pieces::split(&BatchEntry::Ended { job: job.clone() }, &job, 260);
+    assert!(records.len() > 1, "the entry is split");
+    let renewed = pieces::with_new_keys(LogTopic::Batch, &records);
+    let stem = |record: &NewEntry| {
+        let parts: Vec<_> = record.key.split('/').collect();
+        (parts[0].to_owned(), parts[1].to_owned())
+    };
+    assert!(
+        renewed
+            .iter()
+            .all(|record| stem(record) == stem(&renewed[0]))
+    );
+    assert_ne!(stem(&renewed[0]), stem(&records[0]));
+    let blobs = [entry("job/00/0"), entry("job/00/1")];
+    assert_eq!(pieces::with_new_keys(LogTopic::Blobs, &blobs), blobs);
+}
