--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use amaranth_kernel::route_table::RouteTable;
+use amaranth_kernel::upstream_registry::UpstreamNotice;
 use amaranth_wire::batch_entry::SubmittedItem;
 use amaranth_wire::id::{ItemId, JobId, RequestId, UpstreamId};
 use bytes::Bytes;
@@ -133,3 +135,19 @@
     /// Reads the head of an answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerMarks,
 }
+
+/// An upstream with its announcement.
+pub type NamedNotice = (UpstreamId, UpstreamNotice);
+
+/// How an adapter's protocol is read and written.
+#[derive(Clone, Copy)]
+pub struct ProtocolCodecs {
+    /// Callers.
+    pub caller: CallerCodec,
+    /// Upstreams.
+    pub upstream: UpstreamCodec,
+    /// Reads a configuration entry; `None` for keys that hold something else.
+    pub read_configuration: fn(&str, &[u8]) -> std::result::Result<Option<RouteTable>, String>,
+    /// Reads an upstream's announcement.
+    pub read_notice: fn(&str, &[u8]) -> std::result::Result<NamedNotice, String>,
+}
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -4,10 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_kernel::route_table::RouteTable;
-use amaranth_kernel::upstream_registry::UpstreamNotice;
 use amaranth_net::telemetry;
-use amaranth_wire::id::{DataCentreId, InstanceId, UpstreamId};
+use amaranth_wire::id::{DataCentreId, InstanceId};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout};
@@ -24,7 +22,7 @@
 use crate::batch::reading::JobReader;
 use crate::batch::shards::ShardHold;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
-use crate::call::{CallerCodec, UpstreamCodec};
+use crate::call::ProtocolCodecs;
 use crate::forward_run::ForwardPath;
 use crate::gateway::Gateway;
 use crate::listener::{self, ConnectionLimits};
@@ -98,22 +96,6 @@
     pub batch_retention: Duration,
 }
 
-/// An upstream with its announcement.
-pub type NamedNotice = (UpstreamId, UpstreamNotice);
-
-/// How an adapter's protocol is read and written.
-#[derive(Clone, Copy)]
-pub struct ProtocolCodecs {
-    /// Callers.
-    pub caller: CallerCodec,
-    /// Upstreams.
-    pub upstream: UpstreamCodec,
-    /// Reads a configuration entry; `None` for keys that hold something else.
-    pub read_configuration: fn(&str, &[u8]) -> std::result::Result<Option<RouteTable>, String>,
-    /// Reads an upstream's announcement.
-    pub read_notice: fn(&str, &[u8]) -> std::result::Result<NamedNotice, String>,
-}
-
 /// Why settings are looked at again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReloadCause {
@@ -266,7 +248,7 @@
     let blob_committer = BatchCommitter::new(log.clone(), LogTopic::Blobs, work.clone());
     let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
     let listed = places.clone();
-    let on_members = Box::new(move |members| set_members(&listed, members));
+    let on_members = Box::new(move |members| topic_apply::set_members(&listed, members));
     let member = places.member().to_string();
     let shards = Arc::new(ShardHold::new(member, log.shard_count, on_members));
     let followers = [
@@ -322,18 +304,6 @@
     Arc::new(Gateway::new(routes, forward, intake, reader))
 }
 
-/// Takes over the list of members. Names that can't be read belong to other versions.
-pub(crate) fn set_members(places: &PlaceFinder, members: Vec<String>) {
-    let (names, other): (Vec<_>, Vec<_>) = members
-        .into_iter()
-        .map(|member| member.parse::<MemberName>())
-        .partition(|name| name.is_ok());
-    for error in other.into_iter().filter_map(|name| name.err()) {
-        log::warn!("event=member_ignored error={:?}", error.to_string());
-    }
-    places.set_members(names.into_iter().flatten().collect());
-}
-
 fn route_finders(routes: Arc<RouteState>) -> RouteFinders {
     Arc::new(move |host, path| {
         let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -6,10 +6,11 @@
 use amaranth_wire::id::UpstreamId;
 
 use crate::batch::board::JobBoard;
+use crate::call::ProtocolCodecs;
 use crate::log_access::{LogEntry, LogTopic};
+use crate::member_name::MemberName;
 use crate::peer_state::{StateTaker, TopicCopies};
 use crate::placing::PlaceFinder;
-use crate::process::{ProtocolCodecs, set_members};
 use crate::route_state::{RouteSource, RouteState};
 use crate::topic_follow::{FollowStep, TopicFollower};
 use crate::upstream_pool::UpstreamPool;
@@ -153,3 +154,15 @@
         take_members: Box::new(move |names| set_members(&members, names)),
     }
 }
+
+/// Takes over the list of members. Names that can't be read belong to other versions.
+pub fn set_members(places: &PlaceFinder, members: Vec<String>) {
+    let (names, other): (Vec<_>, Vec<_>) = members
+        .into_iter()
+        .map(|member| member.parse::<MemberName>())
+        .partition(|name| name.is_ok());
+    for error in other.into_iter().filter_map(|name| name.err()) {
+        log::warn!("event=member_ignored error={:?}", error.to_string());
+    }
+    places.set_members(names.into_iter().flatten().collect());
+}
--- a/crates/serve/tests/hedged_append.rs
+++ b/crates/serve/tests/hedged_append.rs
@@ -16,6 +16,10 @@
 /// What the log does with one try: how long it takes, and the reply.
 type Reply = (u64, Result<LogOffset>);
 
+/// Records of the tries, in their order.
+type SeenRecords = Arc<Mutex<Vec<Vec<NewEntry>>>>;
+
+/// How long the limit of a call is, in milliseconds.
 const NEVER: u64 = 1_200;
 
 fn ok() -> Result<LogOffset> {
@@ -39,7 +43,7 @@
 }
 
 /// A log that replies as told, and what it was given.
-fn log(replies: Vec<Reply>) -> (Arc<DurableLog>, Arc<Mutex<Vec<Vec<NewEntry>>>>) {
+fn log(replies: Vec<Reply>) -> (Arc<DurableLog>, SeenRecords) {
     let seen = Arc::new(Mutex::new(Vec::new()));
     let (given, next) = (seen.clone(), AtomicUsize::new(0));
     let log = DurableLog {
