List a group's upstreams once a question; share what stood twice

Found by reading the change: the desk listed and sorted a group's upstreams twice for every question; every append copied its records for a repetition that seldom comes; the store's client and peers each sent and read an answer by their own code; the moving average stood three times in the kernel; two unrelated things were called suspects in placing. Change: one list, filtered; records hold Bytes, so a copy shares them; ConnectionBook::fetch; kernel::moving_average; silent desks are called so. No behaviour, bound or check changes; one test's literal is written as Bytes.

--- a/crates/kernel/src/admission_queue.rs
+++ b/crates/kernel/src/admission_queue.rs
@@ -6,6 +6,8 @@
 use amaranth_wire::error::ErrorKind;
 use amaranth_wire::id::TeamId;
 
+use crate::moving_average::moving_average;
+
 /// Weight of the newest sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Mean deviations above the mean that a request is given to be answered in time.
@@ -81,8 +83,8 @@
     fn with_sample(self, took_ms: f64) -> Self {
         let deviation_ms = (took_ms - self.mean_ms).abs();
         Self {
-            mean_ms: average(Some(self.mean_ms), took_ms),
-            deviation_ms: average(Some(self.deviation_ms), deviation_ms),
+            mean_ms: moving_average(Some(self.mean_ms), took_ms, SAMPLE_WEIGHT),
+            deviation_ms: moving_average(Some(self.deviation_ms), deviation_ms, SAMPLE_WEIGHT),
         }
     }
 
@@ -294,12 +296,8 @@
     fn note_send(&mut self, now_ms: u64) {
         if let Some(last) = self.last_send_ms.filter(|_| !self.is_empty()) {
             let gap = now_ms.saturating_sub(last) as f64;
-            self.send_gap_ms = Some(average(self.send_gap_ms, gap));
+            self.send_gap_ms = Some(moving_average(self.send_gap_ms, gap, SAMPLE_WEIGHT));
         }
         self.last_send_ms = Some(now_ms);
     }
 }
-
-fn average(known: Option<f64>, sample: f64) -> f64 {
-    known.map_or(sample, |known| known + (sample - known) * SAMPLE_WEIGHT)
-}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log_clock;
 pub mod log_source;
 pub mod membership;
+pub mod moving_average;
 pub mod place_desk;
 pub mod placement;
 pub mod plan_state;
--- a/crates/kernel/src/place_desk.rs
+++ b/crates/kernel/src/place_desk.rs
@@ -15,6 +15,7 @@
 use amaranth_wire::place_message::{PlaceCounts, PlaceDemand, PlaceQuestion, PlaceReply};
 use rand::RngExt;
 
+use crate::moving_average::moving_average;
 use crate::routing::DecisionRng;
 
 /// Time after which a silent instance's counts are dropped, in milliseconds: several repeats.
@@ -123,11 +124,9 @@
         }
         for count in counts.rows.iter().filter(|count| count.service_ms > 0) {
             let sample = f64::from(count.service_ms);
-            let known = self
-                .service_ms
-                .entry(count.upstream.clone())
-                .or_insert(sample);
-            *known += (sample - *known) * SAMPLE_WEIGHT;
+            let known = self.service_ms.get(&count.upstream).copied();
+            let average = moving_average(known, sample, SAMPLE_WEIGHT);
+            self.service_ms.insert(count.upstream.clone(), average);
         }
         self.grants
             .retain(|grant| grant.member != member || !counts.covers(grant.question));
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -11,6 +11,7 @@
 use rand::RngExt;
 
 use crate::ejection::{self, UpstreamHealth};
+use crate::moving_average::moving_average;
 use crate::routing::DecisionRng;
 
 /// Time in which a report of other instances' requests loses two thirds of its weight, in
@@ -56,7 +57,7 @@
 
     /// Notes how long a whole answer of usual size took there.
     pub fn note_service(&mut self, took_ms: f64) {
-        self.service_ms = Some(average(self.service_ms, took_ms));
+        self.service_ms = Some(moving_average(self.service_ms, took_ms, SAMPLE_WEIGHT));
     }
 
     /// Time that a usual request takes there, in milliseconds.
@@ -88,10 +89,6 @@
     sum / (weights + IDLE_WEIGHT)
 }
 
-fn average(known: Option<f64>, sample: f64) -> f64 {
-    known.map_or(sample, |known| known + (sample - known) * SAMPLE_WEIGHT)
-}
-
 /// One upstream that a request may go to.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementCandidate<'a> {
--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -86,7 +86,7 @@
         let pieces = content.chunks(piece_bytes).enumerate();
         let records = pieces.map(|(index, piece)| NewEntry {
             key: blob.record_key(index as u32),
-            value: Some(piece.to_vec()),
+            value: Some(content.slice_ref(piece)),
         });
         blob.offset = self
             .committer
--- a/crates/serve/src/batch/commit.rs
+++ b/crates/serve/src/batch/commit.rs
@@ -5,6 +5,7 @@
 
 use amaranth_wire::batch_entry::BatchEntry;
 use amaranth_wire::id::LogOffset;
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
@@ -108,20 +109,21 @@
 /// the log counts; nothing was done only if every try says so.
 async fn append_hedged(log: &DurableLog, topic: LogTopic, records: Vec<NewEntry>) -> Outcome {
     let mut tries = FuturesUnordered::new();
-    let mut pauses = HEDGE_PAUSES.iter();
-    let mut worst = None;
+    let mut pauses = HEDGE_PAUSES.into_iter().peekable();
+    let mut failure: Option<LogError> = None;
     tries.push((log.append)((topic, records.clone())));
     loop {
-        let pause = pauses.clone().next().copied();
+        let pause = pauses.peek().copied();
         tokio::select! {
             Some(outcome) = tries.next() => match outcome {
                 Ok(offset) => return Ok(offset),
                 Err(e) => {
-                    let unknown = matches!(worst, Some(LogError::Unknown(_)));
+                    let unknown = failure.filter(|known| matches!(known, LogError::Unknown(_)));
+                    let worst = unknown.unwrap_or(e);
                     if tries.is_empty() {
-                        return Err(if unknown { worst.unwrap_or(e) } else { e });
+                        return Err(worst);
                     }
-                    worst = Some(if unknown { worst.unwrap_or(e) } else { e });
+                    failure = Some(worst);
                 }
             },
             () = sleep(pause.unwrap_or_default()), if pause.is_some() => {
@@ -136,6 +138,6 @@
 /// Bytes of records in an append: each has a length, and a key with a length of its own.
 fn size(records: &[NewEntry]) -> usize {
     let record =
-        |record: &NewEntry| record.key.len() + record.value.as_ref().map_or(0, Vec::len) + 5;
+        |record: &NewEntry| record.key.len() + record.value.as_ref().map_or(0, Bytes::len) + 5;
     records.iter().map(record).sum()
 }
--- a/crates/serve/src/batch/pieces.rs
+++ b/crates/serve/src/batch/pieces.rs
@@ -17,7 +17,7 @@
 /// Splits an entry into records under a key that was not used before.
 pub fn split(entry: &BatchEntry, job: &JobId, entry_bytes: usize) -> Vec<NewEntry> {
     let nonce: u64 = rand::random();
-    let bytes = entry.encode();
+    let bytes = Bytes::from(entry.encode());
     let piece_bytes = entry_bytes.saturating_sub(KEY_BYTES + 1).max(1);
     let pieces: Vec<&[u8]> = bytes.chunks(piece_bytes).collect();
     let count = pieces.len();
@@ -26,7 +26,7 @@
         .enumerate()
         .map(|(index, piece)| NewEntry {
             key: format!("{job}/{nonce:016x}/{index}/{count}"),
-            value: Some(piece.to_vec()),
+            value: Some(bytes.slice_ref(piece)),
         });
     records.collect()
 }
--- a/crates/serve/src/connection_book.rs
+++ b/crates/serve/src/connection_book.rs
@@ -138,6 +138,18 @@
         }
     }
 
+    /// Sends a request and reads its whole answer, at most so many bytes of it.
+    pub async fn fetch(
+        self: &Arc<Self>,
+        key: ConnectionKey,
+        request: Request<Full<Bytes>>,
+        most: usize,
+    ) -> Result<(http::StatusCode, Bytes)> {
+        let answer = self.send(key, request).await?;
+        let status = answer.status();
+        Ok((status, answer.read_all(most).await?))
+    }
+
     /// Drops the idle connections to an owner.
     pub fn forget(&self, owner: &str) {
         let mut idle = self.idle.lock().expect("not poisoned");
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -120,7 +120,7 @@
     /// Its key.
     pub key: String,
     /// Its content; `None` deletes the key.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
 }
 
 /// This process as a member of the group that shares the work on batch jobs.
--- a/crates/serve/src/peer_state.rs
+++ b/crates/serve/src/peer_state.rs
@@ -1,8 +1,8 @@
 //! What an instance that starts while the log is away takes over from other instances.
 //!
 //! Every instance keeps the newest entries of configuration and upstreams as the log gave them, or
-//! as a peer showed them, and shows them to others. A starting instance that can't read the log asks the instances that its
-//! settings name, and believes the one that has read the log last.
+//! as a peer showed them, and shows them to others. A starting instance that can't read the log asks
+//! the instances that its settings name, and believes the one that has read the log last.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -273,20 +273,10 @@
         address: peer,
         owner: "peer".to_owned(),
     };
-    let call = async {
-        let answer = book.send(key, request).await.map_err(|e| e.to_string())?;
-        let status = answer.status();
-        let body = answer
-            .read_all(STATE_BYTES)
-            .await
-            .map_err(|e| e.to_string())?;
-        match status {
-            StatusCode::OK => rmp_serde::from_slice(&body).map_err(|e| e.to_string()),
-            _ => Err(format!("status {status}")),
-        }
-    };
-    match timeout(PEER_LIMIT, call).await {
-        Ok(answered) => answered,
+    match timeout(PEER_LIMIT, book.fetch(key, request, STATE_BYTES)).await {
+        Ok(Ok((StatusCode::OK, body))) => rmp_serde::from_slice(&body).map_err(|e| e.to_string()),
+        Ok(Ok((status, _))) => Err(format!("status {status}")),
+        Ok(Err(e)) => Err(e.to_string()),
         Err(_) => Err("no answer in time".to_owned()),
     }
 }
--- a/crates/serve/src/placing.rs
+++ b/crates/serve/src/placing.rs
@@ -30,7 +30,7 @@
 const ASK_LIMIT: Duration = Duration::from_millis(12);
 /// Time for which an instance that did not answer is not asked: a killed process is back, or
 /// replaced in the list of members, after a few of them.
-const SUSPECT_TIME: Duration = Duration::from_millis(700);
+const SILENT_TIME: Duration = Duration::from_millis(700);
 /// Instances that are told the counts of a group: the one that hands out its places, and the one
 /// that takes over from it.
 const DESKS: usize = 2;
@@ -88,7 +88,7 @@
     desk: Mutex<PlaceDesk>,
     accusations: Mutex<AccusationBook>,
     pending: Mutex<PendingQuestions>,
-    suspects: Mutex<HashMap<SocketAddr, Instant>>,
+    silent_desks: Mutex<HashMap<SocketAddr, Instant>>,
     number: AtomicU64,
     sequence: AtomicU64,
 }
@@ -106,7 +106,7 @@
             desk: Mutex::default(),
             accusations: Mutex::default(),
             pending: Mutex::default(),
-            suspects: Mutex::default(),
+            silent_desks: Mutex::default(),
             number: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
         })
@@ -184,7 +184,7 @@
         excluded: &[UpstreamId],
     ) -> Option<Granting<'_>> {
         for desk in self.desks(group) {
-            if self.is_suspect(desk.address) {
+            if self.is_silent(desk.address) {
                 continue;
             }
             let number = self.number.fetch_add(1, Ordering::Relaxed);
@@ -230,17 +230,17 @@
         let (name, ms) = (&desk.instance, ASK_LIMIT.as_millis());
         log::info!("event=desk_silent group={group} desk={name} ms={ms}");
         metrics::counter!("desk_silent_total").increment(1);
-        let until = Instant::now() + SUSPECT_TIME;
-        let mut suspects = self.suspects.lock().expect("not poisoned");
-        suspects.insert(desk.address, until);
+        let until = Instant::now() + SILENT_TIME;
+        let mut silent = self.silent_desks.lock().expect("not poisoned");
+        silent.insert(desk.address, until);
         None
     }
 
-    fn is_suspect(&self, address: SocketAddr) -> bool {
-        let mut suspects = self.suspects.lock().expect("not poisoned");
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let mut silent = self.silent_desks.lock().expect("not poisoned");
         let now = Instant::now();
-        suspects.retain(|_, until| *until > now);
-        suspects.contains_key(&address)
+        silent.retain(|_, until| *until > now);
+        silent.contains_key(&address)
     }
 
     fn answer(
@@ -251,9 +251,16 @@
         excluded: &[UpstreamId],
     ) -> (PlaceReply, Option<GiveWayOrder>) {
         let now_ms = steady_ms();
-        let suspects = self.suspects_for(data_centre, group, question, excluded, now_ms);
-        let serving = self.pool.serving(group, excluded).into_iter();
-        let upstreams = serving.map(|(upstream, notice)| DeskUpstream {
+        let serving = self.pool.serving(group, &[]);
+        let accuser = AccusingMember {
+            member: &question.member,
+            data_centre,
+        };
+        let suspects = self.suspects_for(accuser, group, excluded, serving.len(), now_ms);
+        let allowed = serving
+            .into_iter()
+            .filter(|(upstream, _)| !excluded.contains(upstream));
+        let upstreams = allowed.map(|(upstream, notice)| DeskUpstream {
             upstream,
             slots: notice.slots,
             near: notice.data_centre == *data_centre,
@@ -273,17 +280,13 @@
     /// Upstreams that several instances avoid, and that the one that asks should not be sent to.
     fn suspects_for(
         &self,
-        data_centre: &DataCentreId,
+        accuser: AccusingMember<'_>,
         group: &UpstreamGroupId,
-        question: &PlaceQuestion,
         excluded: &[UpstreamId],
+        group_len: usize,
         now_ms: u64,
     ) -> Vec<UpstreamId> {
-        let accuser = AccusingMember {
-            member: &question.member,
-            data_centre,
-        };
-        let group_len = self.pool.serving(group, &[]).len();
+        let data_centre = accuser.data_centre;
         let mut accusations = self.accusations.lock().expect("not poisoned");
         accusations.note(accuser, excluded, group_len, now_ms);
         let suspects = accusations.suspects(data_centre, now_ms);
--- a/crates/serve/tests/hedged_append.rs
+++ b/crates/serve/tests/hedged_append.rs
@@ -108,7 +108,7 @@
     let job: amaranth_wire::id::JobId = "job".parse().unwrap();
     let entry = |name: &str| NewEntry {
         key: name.to_owned(),
-        value: Some(vec![1]),
+        value: Some(vec![1].into()),
     };
     let records = pieces::split(&BatchEntry::Ended { job: job.clone() }, &job, 260);
     assert!(records.len() > 1, "the entry is split");
