Keep appends of many writers within the rate of their partition

Once the queue passed 100 ms each append became three and the queue never emptied; callers got their 202 after 1,000 to 1,500 ms. Ruled out: the runs of items themselves (4.7 s at the median, in time). Entries that are not urgent share half of a partition's rate among the members that hold shards (kernel::commit::AppendBudget, which the own interface uses); urgent ones have a queue of their own. Each member writes blobs to one of all partitions, chosen by its name; BlobRef says which.

--- a/crates/kernel/src/commit.rs
+++ b/crates/kernel/src/commit.rs
@@ -104,8 +104,9 @@
 }
 
 impl AppendBudget {
-    /// Minimum interval between two appends of results by one writer, in milliseconds.
-    fn result_interval_ms(&self) -> u64 {
+    /// Minimum interval between two appends by one writer that are not urgent, in milliseconds. All
+    /// writers together then use a fixed part of the rate, however many they are.
+    pub fn interval_ms(&self) -> u64 {
         1_000 * RESULT_RATE_DIVISOR * self.writers.max(1) / self.rate.max(1)
     }
 }
@@ -117,7 +118,7 @@
     if group.urgent {
         return URGENT_BATCHING_MS;
     }
-    let min_interval_ms = budget.result_interval_ms();
+    let min_interval_ms = budget.interval_ms();
     if group.results >= RESULT_FLUSH_THRESHOLD || !group.more_expected {
         return URGENT_BATCHING_MS.max(min_interval_ms);
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event_framing;
 pub mod file_table;
 pub mod hashing;
+pub mod hedge_policy;
 pub mod job_table;
 pub mod language;
 pub mod lease;
--- a/crates/kernel/tests/job_table.rs
+++ b/crates/kernel/tests/job_table.rs
@@ -19,6 +19,7 @@
         offset: LogOffset(0),
         records: 1,
         bytes: 1,
+        partition: 0,
     }
 }
 
--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 
 use crate::batch::commit::BatchCommitter;
-use crate::log_access::{DurableLog, LogEntry, LogError, LogRead, LogTopic, NewEntry, Result};
+use crate::log_access::{
+    DurableLog, LogEntry, LogError, LogRead, LogTopic, NewEntry, Result, TopicPartition,
+};
 
 /// Most bytes in the cache: a small part of the smallest machine's 96 MB.
 const CACHE_BYTES: usize = 3 << 20;
@@ -77,6 +79,7 @@
             offset: LogOffset(0),
             records: bytes.len().div_ceil(piece_bytes).max(1) as u32,
             bytes: bytes.len() as u64,
+            partition: self.committer.partition(),
         };
         // A record without content would delete its key.
         let content = match bytes.is_empty() {
@@ -99,17 +102,20 @@
         Ok(blob)
     }
 
-    /// Deletes all records of the blobs from the log.
+    /// Deletes all records of the blobs from the log, with one append for each of their partitions.
     pub async fn delete(&self, blobs: &[BlobRef]) -> Result<()> {
-        let records = blobs.iter().flat_map(|blob| {
-            (0..blob.records).map(|index| NewEntry {
+        let mut deletions: HashMap<TopicPartition, Vec<NewEntry>> = HashMap::new();
+        for blob in blobs {
+            let records = (0..blob.records).map(|index| NewEntry {
                 key: blob.record_key(index),
                 value: None,
-            })
-        });
-        self.committer
-            .append_records(records.collect(), false)
-            .await?;
+            });
+            let partition = deletions.entry(partition_of(blob)).or_default();
+            partition.extend(records);
+        }
+        for deletion in deletions {
+            (self.log.append)(deletion).await?;
+        }
         Ok(())
     }
 
@@ -138,7 +144,7 @@
 
     async fn read_by_offset(&self, blob: &BlobRef) -> Result<Bytes> {
         let max_bytes = blob.bytes + (RECORD_OVERHEAD as u64) * u64::from(blob.records);
-        let read = LogRead::new(LogTopic::Blobs, blob.offset).with_max_bytes(max_bytes);
+        let read = LogRead::new(partition_of(blob), blob.offset).with_max_bytes(max_bytes);
         let slice = (self.log.read)(read).await?;
         match assemble(blob, slice.entries.into_iter()) {
             Some(bytes) => Ok(bytes),
@@ -152,7 +158,7 @@
         let mut after = blob.key.clone();
         let mut entries = Vec::new();
         while entries.len() < blob.records as usize {
-            let page = (self.log.newest_after)((LogTopic::Blobs, after)).await?;
+            let page = (self.log.newest_after)((partition_of(blob), after)).await?;
             let before = entries.len();
             after = page
                 .last()
@@ -170,6 +176,13 @@
     }
 }
 
+fn partition_of(blob: &BlobRef) -> TopicPartition {
+    TopicPartition {
+        topic: LogTopic::Blobs,
+        partition: blob.partition,
+    }
+}
+
 fn is_record_of(blob: &BlobRef, key: &str) -> bool {
     let number = key
         .strip_prefix(&blob.key)
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -53,6 +53,12 @@
         &self.member
     }
 
+    /// Number of members that hold shards, as last listed; at least 1.
+    pub fn member_count(&self) -> u64 {
+        let members = self.members.lock().expect("not poisoned");
+        members.len().max(1) as u64
+    }
+
     /// Whether the member was in the group when it was last listed.
     pub fn is_member(&self, name: &str) -> bool {
         self.members.lock().expect("not poisoned").contains(name)
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -57,6 +57,31 @@
     }
 }
 
+/// One partition of a topic. Offsets number the entries of a partition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct TopicPartition {
+    /// The topic.
+    pub topic: LogTopic,
+    /// Number of the partition, from 0.
+    pub partition: u32,
+}
+
+impl From<LogTopic> for TopicPartition {
+    /// Partition 0, the only one of the topics that are read as a whole.
+    fn from(topic: LogTopic) -> Self {
+        Self {
+            topic,
+            partition: 0,
+        }
+    }
+}
+
+impl fmt::Display for TopicPartition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.topic, self.partition)
+    }
+}
+
 /// An entry read from a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogEntry {
@@ -80,8 +105,8 @@
 /// Parameters of a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogRead {
-    /// Topic to read.
-    pub topic: LogTopic,
+    /// Partition to read.
+    pub source: TopicPartition,
     /// Offset of the first entry.
     pub from: LogOffset,
     /// Longest wait for that entry.
@@ -92,9 +117,9 @@
 
 impl LogRead {
     /// Creates a read of the default page size that does not wait.
-    pub fn new(topic: LogTopic, from: LogOffset) -> Self {
+    pub fn new(source: impl Into<TopicPartition>, from: LogOffset) -> Self {
         Self {
-            topic,
+            source: source.into(),
             from,
             wait: Duration::ZERO,
             max_bytes: None,
@@ -150,11 +175,11 @@
     /// Reads entries from an offset on.
     pub read: LogCall<LogRead, LogSlice>,
     /// Returns a page of the newest entry of each key after the given one, in key order.
-    pub newest_after: LogCall<(LogTopic, String), Vec<LogEntry>>,
+    pub newest_after: LogCall<(TopicPartition, String), Vec<LogEntry>>,
     /// Returns the newest entry of every key, and the offset from which to read on.
     pub newest: LogCall<LogTopic, LogSlice>,
-    /// Appends entries to a topic, all or none; returns the offset of the first.
-    pub append: LogCall<(LogTopic, Vec<NewEntry>), LogOffset>,
+    /// Appends entries to a partition, all or none; returns the offset of the first.
+    pub append: LogCall<(TopicPartition, Vec<NewEntry>), LogOffset>,
     /// Joins the group or renews the membership.
     pub join: LogCall<JoinRequest, GroupShards>,
     /// Returns the members of the group that hold shards.
@@ -163,6 +188,10 @@
     pub leave: LogCall<String, ()>,
     /// Number of shards that the group divides among its members.
     pub shard_count: u64,
+    /// Number of partitions over which [`LogTopic::Blobs`] is spread; the other topics use one.
+    pub blob_partitions: u32,
+    /// Appends per second that one partition takes from all writers together.
+    pub partition_appends_per_s: u64,
     /// Most bytes of all entries in one append.
     pub append_bytes: usize,
     /// Most bytes of one entry, including its key.
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_kernel::commit::AppendBudget;
+use amaranth_kernel::hashing::hash_bytes;
 use amaranth_net::telemetry;
 use amaranth_wire::id::{DataCentreId, InstanceId};
 use tokio::signal::unix::{SignalKind, signal};
@@ -26,7 +28,7 @@
 use crate::forward_run::ForwardContext;
 use crate::gateway::Gateway;
 use crate::listener::{self, ConnectionLimits};
-use crate::log_access::{DurableLog, LogTopic};
+use crate::log_access::{DurableLog, LogTopic, TopicPartition};
 use crate::member_name::MemberName;
 use crate::peer_state::{PEER_STATE_PATH, TopicCopies, copy_from_peers};
 use crate::placement_service::PlacementService;
@@ -253,13 +255,15 @@
     let routes = Arc::new(RouteState::new());
     let pool = placement.pool.clone();
     let replica = Arc::new(JobReplica::new());
-    let committer = BatchCommitter::new(log.clone(), LogTopic::Batch, work.clone());
-    let blob_committer = BatchCommitter::new(log.clone(), LogTopic::Blobs, work.clone());
-    let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
     let listed = placement.clone();
     let on_members = Box::new(move |members| topic_apply::set_members(&listed, members));
     let member = placement.member().to_string();
     let shards = Arc::new(ShardAssignment::new(member, log.shard_count, on_members));
+    let committer = batch_committer(&log, &shards, work);
+    let blobs = Arc::new(BlobStore::new(
+        log.clone(),
+        blob_committer(&log, &shards, work),
+    ));
     let followers = [
         topic_apply::follow_configuration(routes.clone(), copies.clone(), codecs),
         topic_apply::follow_upstreams(pool.clone(), copies.clone(), codecs),
@@ -313,6 +317,40 @@
     Arc::new(Gateway::new(routes, forward, intake, reader))
 }
 
+/// Creates the committer of the batch topic, whose one partition all members share.
+fn batch_committer(
+    log: &Arc<DurableLog>,
+    shards: &Arc<ShardAssignment>,
+    stop: &CancellationToken,
+) -> BatchCommitter {
+    let (rate, writers) = (log.partition_appends_per_s, shards.clone());
+    let budget = move || AppendBudget {
+        rate,
+        writers: writers.member_count(),
+    };
+    let target = TopicPartition::from(LogTopic::Batch);
+    BatchCommitter::new(log.clone(), target, Box::new(budget), stop.clone())
+}
+
+/// Creates the committer of blobs. Each member appends to one partition, chosen by its name.
+fn blob_committer(
+    log: &Arc<DurableLog>,
+    shards: &Arc<ShardAssignment>,
+    stop: &CancellationToken,
+) -> BatchCommitter {
+    let (rate, writers) = (log.partition_appends_per_s, shards.clone());
+    let partitions = u64::from(log.blob_partitions.max(1));
+    let budget = move || AppendBudget {
+        rate,
+        writers: writers.member_count().div_ceil(partitions),
+    };
+    let target = TopicPartition {
+        topic: LogTopic::Blobs,
+        partition: (hash_bytes(shards.member().as_bytes(), 0) % partitions) as u32,
+    };
+    BatchCommitter::new(log.clone(), target, Box::new(budget), stop.clone())
+}
+
 fn route_finder_factory(routes: Arc<RouteState>) -> RouteFinderFactory {
     Arc::new(move |host, path| {
         let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
--- a/crates/serve/tests/hedged_append.rs
+++ b/crates/serve/tests/hedged_append.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranth_kernel::commit::AppendBudget;
 use amaranth_serve::batch::commit::BatchCommitter;
 use amaranth_serve::batch::pieces;
 use amaranth_serve::log_access::{DurableLog, LogError, LogTopic, NewEntry, Result};
@@ -63,12 +64,22 @@
         members: unused(),
         leave: unused(),
         shard_count: 1,
+        blob_partitions: 1,
+        partition_appends_per_s: 250,
         append_bytes: 1 << 20,
         entry_bytes: 1 << 18,
     };
     (Arc::new(log), seen)
 }
 
+/// Creates a committer of the batch topic for one of several writers.
+fn batch_committer(log: Arc<DurableLog>, writers: u64) -> BatchCommitter {
+    let rate = log.partition_appends_per_s;
+    let budget = move || AppendBudget { rate, writers };
+    let target = LogTopic::Batch.into();
+    BatchCommitter::new(log, target, Box::new(budget), CancellationToken::new())
+}
+
 /// Each case: the replies to the attempts in order, the expected outcome, and after how many
 /// milliseconds it is returned.
 #[tokio::test(start_paused = true)]
@@ -97,7 +108,7 @@
     ];
     for (replies, expected, after_ms) in cases {
         let (log, seen) = scripted_log(replies.clone());
-        let committer = BatchCommitter::new(log, LogTopic::Batch, CancellationToken::new());
+        let committer = batch_committer(log, 1);
         let job = "job".parse().unwrap();
         let entry = BatchEntry::Ended { job };
         let start = Instant::now();
--- a/crates/wire/src/batch_entry.rs
+++ b/crates/wire/src/batch_entry.rs
@@ -15,6 +15,9 @@
     pub records: u32,
     /// Total size in bytes.
     pub bytes: u64,
+    /// Partition of the records; entries of older versions have them in partition 0.
+    #[serde(default)]
+    pub partition: u32,
 }
 
 impl BlobRef {
