Keep progress of items in a topic of its own and requests beside the job's entry

Cause: after a loss of power all 295 instances read the batch topic anew, and the store's reads are limited to 80 MB/s in total. Most bytes were progress of items that had long finished, kept by the store for ever under keys of their own; next were paths and headers of items. Ruled out: processor and links of small machines (all instances were late alike). Change: the topic of progress keeps one record for each running item, which its instance deletes with the item's end; only members that hold shards read it, and no item starts without it. Partial outputs are deleted when a later one is in use. The batch topic holds jobs and ends; path, headers and body of an item lie in the job's blob. Entries of older versions still decode.

--- a/crates/kernel/src/job_table.rs
+++ b/crates/kernel/src/job_table.rs
@@ -40,7 +40,7 @@
     partial_outputs: HashMap<ItemId, PartialOutput>,
     /// Saved output that is no longer needed, to be deleted with the job.
     obsolete_blobs: Vec<BlobRef>,
-    /// Highest offset of an entry of the job.
+    /// Highest offset of an entry of the job, without those of progress.
     last_offset: LogOffset,
 }
 
@@ -116,7 +116,8 @@
         waiting.fold(0, |sum, item| sum.saturating_add(item.tokens))
     }
 
-    /// Highest offset of an entry of the job.
+    /// Highest offset of an entry of the job, without those of progress, which have a topic of their
+    /// own.
     pub fn last_offset(&self) -> LogOffset {
         self.last_offset
     }
@@ -157,7 +158,9 @@
     }
 
     fn apply(&mut self, offset: LogOffset, entry: BatchEntry, now_ms: u64) {
-        self.last_offset = self.last_offset.max(offset);
+        if !matches!(entry, BatchEntry::Progress(_)) {
+            self.last_offset = self.last_offset.max(offset);
+        }
         match entry {
             BatchEntry::Submitted(submission) => {
                 let earlier = self.submission.as_ref().is_none_or(|(at, _)| offset < *at);
@@ -293,6 +296,20 @@
         self.rejected.remove(&call);
     }
 
+    /// Removes the progress of an item that no instance runs any more.
+    pub fn remove_progress(&mut self, id: &JobId, item: &ItemId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.claims.remove(item);
+        let partial = job.partial_outputs.remove(item);
+        job.obsolete_blobs.extend(partial.map(|kept| kept.text));
+        let has_entries = job.submission.is_some() || job.ended || !job.end_offsets.is_empty();
+        if !has_entries {
+            self.jobs.remove(id);
+        }
+    }
+
     /// Returns a job; `None` until its submission is applied.
     pub fn job(&self, job: &JobId) -> Option<&TrackedJob> {
         self.jobs.get(job).filter(|job| job.submission.is_some())
--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -72,6 +72,18 @@
 
     /// Appends a blob of a job under a new random key. A blob that nothing refers to does no harm.
     pub async fn put(&self, job: &JobId, bytes: Vec<u8>, urgent: bool) -> Result<BlobRef> {
+        self.put_replacing(job, bytes, urgent, &[]).await
+    }
+
+    /// Appends a blob and, in the same append, deletes others. Those in other partitions are left,
+    /// to be deleted with their job.
+    pub async fn put_replacing(
+        &self,
+        job: &JobId,
+        bytes: Vec<u8>,
+        urgent: bool,
+        replaced: &[BlobRef],
+    ) -> Result<BlobRef> {
         let bytes = Bytes::from(bytes);
         let piece_bytes = self.log.entry_bytes.saturating_sub(RECORD_OVERHEAD).max(1);
         let mut blob = BlobRef {
@@ -91,6 +103,10 @@
             key: blob.record_key(index as u32),
             value: Some(content.slice_ref(piece)),
         });
+        let replaced = replaced
+            .iter()
+            .filter(|replaced| replaced.partition == blob.partition);
+        let records = records.chain(replaced.flat_map(deletion_records));
         blob.offset = self
             .committer
             .append_records(records.collect(), urgent)
@@ -106,12 +122,8 @@
     pub async fn delete(&self, blobs: &[BlobRef]) -> Result<()> {
         let mut deletions: HashMap<TopicPartition, Vec<NewEntry>> = HashMap::new();
         for blob in blobs {
-            let records = (0..blob.records).map(|index| NewEntry {
-                key: blob.record_key(index),
-                value: None,
-            });
             let partition = deletions.entry(partition_of(blob)).or_default();
-            partition.extend(records);
+            partition.extend(deletion_records(blob));
         }
         for deletion in deletions {
             (self.log.append)(deletion).await?;
@@ -176,6 +188,13 @@
     }
 }
 
+fn deletion_records(blob: &BlobRef) -> impl Iterator<Item = NewEntry> {
+    (0..blob.records).map(|index| NewEntry {
+        key: blob.record_key(index),
+        value: None,
+    })
+}
+
 fn partition_of(blob: &BlobRef) -> TopicPartition {
     TopicPartition {
         topic: LogTopic::Blobs,
--- a/crates/serve/src/batch/intake.rs
+++ b/crates/serve/src/batch/intake.rs
@@ -6,10 +6,9 @@
 use amaranth_kernel::token_quota::QuotaDecision;
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{BatchEntry, ItemBodies, JobQuota, SubmittedJob};
+use amaranth_wire::batch_entry::{BatchEntry, ItemRequests, JobQuota, SubmittedJob};
 use amaranth_wire::id::JobId;
 use http::StatusCode;
-use serde_bytes::ByteBuf;
 use tokio::time::{Instant, sleep};
 
 use crate::answer::{Answer, RequestFailure, json, plain};
@@ -257,8 +256,8 @@
         received: ReceivedJob,
         started: Instant,
     ) -> Result<SubmittedJob, LogError> {
-        let bodies = received.list.bodies.into_iter().map(ByteBuf::from);
-        let bodies = rmp_serde::to_vec(&ItemBodies(bodies.collect()));
+        let requests = ItemRequests::Requests(received.list.requests);
+        let bodies = rmp_serde::to_vec(&requests);
         let bodies = bodies.map_err(|e| LogError::NotDone(e.to_string()))?;
         loop {
             match self.blobs.put(&received.job, bodies.clone(), true).await {
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -7,7 +7,7 @@
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{BlobRef, PartialOutput, SubmittedItem};
+use amaranth_wire::batch_entry::{BlobRef, ItemRequest, PartialOutput, SubmittedItem};
 use amaranth_wire::id::{JobId, UpstreamGroupId};
 use amaranth_wire::placement_message::PlacementDemand;
 use bytes::Bytes;
@@ -18,7 +18,7 @@
 
 use crate::attempt::{AttemptEnd, AttemptLimits, ForwardRequest, attempt};
 use crate::batch::blobs::BlobStore;
-use crate::batch::job_reader::read_body;
+use crate::batch::job_reader::read_request;
 use crate::batch::progress::RunProgress;
 use crate::batch::replica::JobReplica;
 use crate::call::UpstreamCodec;
@@ -59,7 +59,7 @@
 pub struct PendingItem {
     /// Job that the item belongs to.
     pub job: JobId,
-    /// Identifier, headers and path as they were submitted.
+    /// The item as its job's entry has it.
     pub item: SubmittedItem,
     /// Index of the item in its job.
     pub index: usize,
@@ -82,7 +82,7 @@
 pub struct ItemRun {
     context: Arc<ItemContext>,
     pending: PendingItem,
-    body: Option<Bytes>,
+    request: Option<ItemRequest>,
     find_route: RouteFinder,
     may_start: StartCheck,
     progress: Arc<RunProgress>,
@@ -123,7 +123,7 @@
         Self {
             context,
             pending,
-            body: None,
+            request: None,
             find_route,
             may_start,
             progress,
@@ -206,10 +206,10 @@
     /// Reads the body and the output of an earlier run. That output may have been deleted: after
     /// [`MAX_OUTPUT_READS`] failed reads the item starts from the beginning.
     async fn load_input(&mut self) -> Result<(), String> {
-        if self.body.is_none() {
+        if self.request.is_none() {
             let (bodies, index) = (&self.pending.bodies, self.pending.index);
-            let body = read_body(&self.context.blobs, bodies, index).await?;
-            self.body = Some(body.into());
+            let read = read_request(&self.context.blobs, bodies, index, &self.pending.item);
+            self.request = Some(read.await?);
         }
         let Some(saved_output) = self.pending.saved_output.take() else {
             return Ok(());
@@ -336,8 +336,9 @@
     }
 
     fn build_request(&self) -> Option<ForwardRequest> {
+        let input = self.request.as_ref()?;
         let mut headers = HeaderMap::new();
-        for (name, value) in &self.pending.item.headers {
+        for (name, value) in &input.headers {
             let name: HeaderName = name.parse().ok()?;
             headers.insert(name, HeaderValue::from_str(value).ok()?);
         }
@@ -348,9 +349,9 @@
         Some(ForwardRequest {
             id: self.pending.item.id.as_str().parse().ok()?,
             method: Method::POST,
-            path: self.pending.item.path.clone(),
+            path: input.path.clone(),
             headers,
-            body: self.body.clone().unwrap_or_default(),
+            body: Bytes::from(input.body.to_vec()),
         })
     }
 
--- a/crates/serve/src/batch/job_reader.rs
+++ b/crates/serve/src/batch/job_reader.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use amaranth_kernel::job_table::TrackedJob;
-use amaranth_wire::batch_entry::{BlobRef, ItemBodies, ItemEnd};
+use amaranth_wire::batch_entry::{BlobRef, ItemEnd, ItemRequest, ItemRequests, SubmittedItem};
 use amaranth_wire::id::{ItemId, JobId};
 use http::StatusCode;
-use serde_bytes::ByteBuf;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Answer, RequestFailure, json, plain};
@@ -155,13 +154,14 @@
         let location = self.replica.with_table(|table| {
             let submission = table.job(&job)?.submission()?;
             let index = submission.items.iter().position(|known| known.id == item)?;
-            Some((submission.bodies.clone(), index))
+            let item = submission.items[index].clone();
+            Some((submission.bodies.clone(), index, item))
         });
-        let Some((bodies, index)) = location else {
+        let Some((bodies, index, item)) = location else {
             return RequestFailure::NoRoute.answer();
         };
-        match read_body(&self.blobs, &bodies, index).await {
-            Ok(body) => plain(StatusCode::OK, body),
+        match read_request(&self.blobs, &bodies, index, &item).await {
+            Ok(request) => plain(StatusCode::OK, request.body.into_vec()),
             Err(why) => lookup_failure(JobLookup::Unavailable(why), &job),
         }
     }
@@ -202,15 +202,15 @@
     }
 }
 
-/// Reads the body of an item by its index in the job.
-pub async fn read_body(
+/// Reads the request of an item by its index in the job.
+pub async fn read_request(
     blobs: &BlobStore,
     bodies: &BlobRef,
     index: usize,
-) -> Result<Vec<u8>, String> {
+    item: &SubmittedItem,
+) -> Result<ItemRequest, String> {
     let bytes = blobs.get(bodies).await.map_err(|e| e.to_string())?;
-    let bodies: ItemBodies = rmp_serde::from_slice(&bytes).map_err(|e| e.to_string())?;
-    let body = bodies.0.into_iter().nth(index);
-    body.map(ByteBuf::into_vec)
-        .ok_or_else(|| "item index is out of range".to_owned())
+    let requests: ItemRequests = rmp_serde::from_slice(&bytes).map_err(|e| e.to_string())?;
+    let request = requests.into_request(index, item);
+    request.ok_or_else(|| "item index is out of range".to_owned())
 }
--- a/crates/serve/src/batch/progress.rs
+++ b/crates/serve/src/batch/progress.rs
@@ -1,19 +1,19 @@
 //! Saves the partial output of a running item on the log periodically, so that another instance can
 //! resume where this one stopped.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranth_kernel::job_table::PROGRESS_PERIOD_MS;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{BatchEntry, ItemProgress, PartialOutput};
+use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemProgress, PartialOutput};
 use amaranth_wire::id::{ItemId, JobId};
 use tokio::time::Instant;
 
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
-use crate::log_access::Result;
+use crate::batch::replica::progress_key;
+use crate::log_access::{NewEntry, Result};
 
 /// Least time between two progress entries of a run.
 const SAVE_PERIOD: Duration = Duration::from_millis(PROGRESS_PERIOD_MS);
@@ -23,8 +23,10 @@
 pub struct ProgressWriter {
     /// Stores partial outputs.
     pub blobs: Arc<BlobStore>,
-    /// Appends progress entries.
+    /// Appends the ends of items.
     pub committer: BatchCommitter,
+    /// Appends progress entries.
+    pub progress_committer: BatchCommitter,
     /// Member name of this instance.
     pub member: String,
 }
@@ -35,6 +37,8 @@
     last_event: Option<u64>,
     /// When progress was last saved; `None` before the first attempt.
     last_saved: Option<Instant>,
+    /// Partial outputs of this run on the log, oldest first.
+    stored: Vec<BlobRef>,
 }
 
 /// Partial output of one run of an item.
@@ -43,7 +47,8 @@
     item: ItemId,
     writer: ProgressWriter,
     output: Mutex<RunOutput>,
-    saving: AtomicBool,
+    /// Held while progress is saved.
+    saving: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl RunProgress {
@@ -54,7 +59,7 @@
             item,
             writer,
             output: Mutex::default(),
-            saving: AtomicBool::new(false),
+            saving: Arc::default(),
         }
     }
 
@@ -97,9 +102,12 @@
         let is_due = output
             .last_saved
             .is_none_or(|last_saved| last_saved.elapsed() >= SAVE_PERIOD);
-        if !is_due || self.saving.swap(true, Ordering::Relaxed) {
+        if !is_due {
             return;
         }
+        let Ok(saving) = self.saving.clone().try_lock_owned() else {
+            return;
+        };
         output.last_saved = Some(Instant::now());
         drop(output);
         let progress = self.clone();
@@ -108,7 +116,7 @@
             if let Err(e) = progress.append(member, false).await {
                 progress.log_save_failure(&e.to_string());
             }
-            progress.saving.store(false, Ordering::Relaxed);
+            drop(saving);
         });
     }
 
@@ -128,6 +136,50 @@
         }
     }
 
+    /// Returns the partial outputs of this run on the log, which its end makes obsolete.
+    pub fn take_stored(&self) -> Vec<BlobRef> {
+        let mut output = self.output.lock().expect("not poisoned");
+        std::mem::take(&mut output.stored)
+    }
+
+    /// Deletes the progress of an item whose end is on the log.
+    pub async fn delete(&self) {
+        if !self.has_started() {
+            return;
+        }
+        let _saving = self.saving.lock().await;
+        let stored = self.take_stored();
+        if !stored.is_empty()
+            && let Err(e) = self.writer.blobs.delete(&stored).await
+        {
+            self.log_save_failure(&e.to_string());
+        }
+        let record = NewEntry {
+            key: progress_key(&self.job, &self.item),
+            value: None,
+        };
+        let committer = &self.writer.progress_committer;
+        if let Err(e) = committer.append_records(vec![record], false).await {
+            self.log_save_failure(&e.to_string());
+        }
+    }
+
+    /// Stores the output so far, and deletes the partial outputs before the latest one: that one is
+    /// in use until an entry refers to the new one.
+    async fn store_output(&self, text: String, urgent: bool) -> Result<BlobRef> {
+        let unused = {
+            let mut output = self.output.lock().expect("not poisoned");
+            let latest = output.stored.pop();
+            std::mem::replace(&mut output.stored, latest.into_iter().collect())
+        };
+        let blobs = &self.writer.blobs;
+        let stored = blobs.put_replacing(&self.job, text.into_bytes(), urgent, &unused);
+        let blob = stored.await?;
+        let mut output = self.output.lock().expect("not poisoned");
+        output.stored.push(blob.clone());
+        Ok(blob)
+    }
+
     async fn append(&self, member: Option<String>, urgent: bool) -> Result<()> {
         let (last_event, text) = {
             let output = self.output.lock().expect("not poisoned");
@@ -135,13 +187,10 @@
         };
         let kept = match last_event {
             None => None,
-            Some(last_event) => {
-                let blob = self.writer.blobs.put(&self.job, text.into_bytes(), urgent);
-                Some(PartialOutput {
-                    last_event,
-                    text: blob.await?,
-                })
-            }
+            Some(last_event) => Some(PartialOutput {
+                last_event,
+                text: self.store_output(text, urgent).await?,
+            }),
         };
         let entry = BatchEntry::Progress(ItemProgress {
             job: self.job.clone(),
@@ -149,9 +198,13 @@
             member,
             kept,
         });
-        self.writer
-            .committer
-            .append(&entry, urgent)
+        let record = NewEntry {
+            key: progress_key(&self.job, &self.item),
+            value: Some(entry.encode().into()),
+        };
+        let committer = &self.writer.progress_committer;
+        committer
+            .append_records(vec![record], urgent)
             .await
             .map(|_| ())
     }
--- a/crates/serve/src/batch/replica.rs
+++ b/crates/serve/src/batch/replica.rs
@@ -5,8 +5,8 @@
 
 use amaranth_kernel::job_table::{ApplyOutcome, JobTable};
 use amaranth_net::clock::steady_ms;
-use amaranth_wire::batch_entry::BatchEntry;
-use amaranth_wire::id::{JobId, LogOffset};
+use amaranth_wire::batch_entry::{BatchEntry, ItemProgress};
+use amaranth_wire::id::{ItemId, JobId, LogOffset};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -25,6 +25,15 @@
     changed: watch::Sender<u64>,
 }
 
+type ItemKey = (JobId, ItemId);
+
+/// The latest progress entry of an item.
+struct LatestProgress {
+    offset: LogOffset,
+    entry: ItemProgress,
+    read_ms: u64,
+}
+
 #[derive(Default)]
 struct ReplicaState {
     table: JobTable,
@@ -32,6 +41,8 @@
     keys: HashMap<JobId, Vec<String>>,
     /// Keys of the records of rejected submissions, by the number of their call.
     rejected_keys: HashMap<u64, Vec<String>>,
+    /// Latest progress entry of each running item; `None` while they are not followed.
+    progress: Option<HashMap<ItemKey, LatestProgress>>,
     next: LogOffset,
     loaded: bool,
     read_sent: Option<Instant>,
@@ -87,6 +98,61 @@
     }
 }
 
+impl ReplicaState {
+    fn add_progress(&mut self, record: LogEntry) {
+        let LogEntry { key, value, offset } = record;
+        let Some(value) = value else {
+            let item = parse_progress_key(&key);
+            if let Some((progress, item)) = self.progress.as_mut().zip(item) {
+                self.table.remove_progress(&item.0, &item.1);
+                progress.remove(&item);
+            }
+            return;
+        };
+        let entry = match BatchEntry::decode(&value) {
+            Ok(BatchEntry::Progress(entry)) => entry,
+            Ok(_) => return log::warn!("event=record_malformed topic=progress key={key:?}"),
+            Err(e) => {
+                let error = e.to_string();
+                return log::warn!(
+                    "event=record_malformed topic=progress key={key:?} error={error:?}"
+                );
+            }
+        };
+        let read_ms = steady_ms();
+        let wrapped = BatchEntry::Progress(entry.clone());
+        log_entry(offset, &wrapped);
+        self.table.apply(offset, wrapped, read_ms);
+        let item = (entry.job.clone(), entry.item.clone());
+        let latest = LatestProgress {
+            offset,
+            entry,
+            read_ms,
+        };
+        if let Some(progress) = &mut self.progress {
+            progress.insert(item, latest);
+        }
+    }
+
+    /// Applies the known progress to jobs that were read anew.
+    fn apply_known_progress(&mut self) {
+        for latest in self.progress.iter().flat_map(HashMap::values) {
+            let entry = BatchEntry::Progress(latest.entry.clone());
+            self.table.apply(latest.offset, entry, latest.read_ms);
+        }
+    }
+}
+
+/// Key of an item's progress record. A new record replaces the one before.
+pub fn progress_key(job: &JobId, item: &ItemId) -> String {
+    format!("{job}/{item}")
+}
+
+fn parse_progress_key(key: &str) -> Option<ItemKey> {
+    let (job, item) = key.split_once('/')?;
+    Some((job.parse().ok()?, item.parse().ok()?))
+}
+
 fn log_entry(offset: LogOffset, entry: &BatchEntry) {
     match entry {
         BatchEntry::Submitted(job) => {
@@ -128,10 +194,13 @@
     /// Applies entries that a follower read; `sent` is when the read was sent.
     pub fn apply(&self, update: TopicUpdate, next: Option<LogOffset>, sent: Instant) {
         let mut inner = self.inner.lock().expect("not poisoned");
+        let replaced = matches!(update, TopicUpdate::Replace(_));
         let entries = match update {
             TopicUpdate::Replace(entries) => {
+                let progress = inner.progress.take();
                 *inner = ReplicaState::default();
                 inner.loaded = true;
+                inner.progress = progress;
                 entries
             }
             TopicUpdate::Append(entries) => entries,
@@ -141,6 +210,9 @@
             inner.next = inner.next.max(entry.offset.next());
             inner.add(entry);
         }
+        if replaced {
+            inner.apply_known_progress();
+        }
         inner.next = inner.next.max(next.unwrap_or_default());
         inner.read_sent = Some(sent);
         drop(inner);
@@ -149,6 +221,45 @@
         }
     }
 
+    /// Applies entries of the progress topic.
+    pub fn apply_progress(&self, update: TopicUpdate) {
+        let mut inner = self.inner.lock().expect("not poisoned");
+        let entries = match update {
+            TopicUpdate::Replace(entries) => {
+                inner.progress = Some(HashMap::new());
+                entries
+            }
+            TopicUpdate::Append(entries) => entries,
+        };
+        let changed = !entries.is_empty();
+        for entry in entries {
+            inner.add_progress(entry);
+        }
+        drop(inner);
+        if changed {
+            self.changed.send_modify(|version| *version += 1);
+        }
+    }
+
+    /// Drops the progress of items, as it is no longer followed.
+    pub fn forget_progress(&self) {
+        self.inner.lock().expect("not poisoned").progress = None;
+    }
+
+    /// Whether the progress of items is known, without which none may be started.
+    pub fn has_progress(&self) -> bool {
+        let inner = self.inner.lock().expect("not poisoned");
+        inner.progress.is_some()
+    }
+
+    /// Returns the keys of a job's progress records.
+    pub fn progress_keys(&self, job: &JobId) -> Vec<String> {
+        let inner = self.inner.lock().expect("not poisoned");
+        let items = inner.progress.iter().flat_map(HashMap::keys);
+        let items = items.filter(|(of, _)| of == job);
+        items.map(|(job, item)| progress_key(job, item)).collect()
+    }
+
     /// Whether the topic was read completely at least once.
     pub fn is_loaded(&self) -> bool {
         self.inner.lock().expect("not poisoned").loaded
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -53,6 +53,11 @@
         &self.member
     }
 
+    /// Whether any shard is assigned to this instance.
+    pub fn has_shards(&self) -> bool {
+        !self.held.lock().expect("not poisoned").is_empty()
+    }
+
     /// Number of members that hold shards, as last listed; at least 1.
     pub fn member_count(&self) -> u64 {
         let members = self.members.lock().expect("not poisoned");
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -117,6 +117,9 @@
 
     /// Returns the items to start, oldest jobs first, up to the limit of running items.
     fn startable_items(&self) -> Vec<PendingItem> {
+        if !self.replica.has_progress() {
+            return Vec::new();
+        }
         let running = self.running.lock().expect("not poisoned");
         let count: usize = running.values().map(|job| job.items.len()).sum();
         let capacity = MAX_RUNNING_ITEMS.saturating_sub(count);
@@ -163,6 +166,7 @@
             let is_open = |job: &TrackedJob| !job.is_item_done(&item);
             let is_free = |job: &TrackedJob| is_open(job) && !is_claimed(job, &item, &shards);
             shards.may_run(item.as_str(), Duration::ZERO)
+                && replica.has_progress()
                 && replica.with_table(|table| table.job(&id).is_some_and(is_free))
         })
     }
@@ -192,11 +196,13 @@
                 .await
             {
                 None => progress.hand_over().await,
-                Some(None | Some(ItemRunEnd::NotStarted)) => {}
+                Some(None) => progress.delete().await,
+                Some(Some(ItemRunEnd::NotStarted)) => {}
                 Some(Some(end)) => {
                     let finish = async {
-                        let end = store_output(&blobs, &id, end).await;
+                        let end = store_output(&blobs, &progress, &id, end).await;
                         commit_end(&committer, &replica, &id, &item, end).await;
+                        progress.delete().await;
                     };
                     cancel.run_until_cancelled(finish).await;
                 }
@@ -231,9 +237,28 @@
             .with_table(|table| table.job(&id).map(|job| job.blobs()).unwrap_or_default());
         let keys = self.replica.keys(&id);
         log::info!("event=job_deleted job={id} records={}", keys.len());
+        self.delete_progress(&id);
         self.delete_records(id, keys, refs);
     }
 
+    /// Deletes what is left of a job's progress, after instances that ended before they did so.
+    fn delete_progress(&self, id: &JobId) {
+        let keys = self.replica.progress_keys(id).into_iter();
+        let records: Vec<_> = keys.map(|key| NewEntry { key, value: None }).collect();
+        if records.is_empty() {
+            return;
+        }
+        let (committer, id) = (self.writer.progress_committer.clone(), id.clone());
+        self.tasks.spawn(async move {
+            if let Err(e) = committer.append_records(records, false).await {
+                log::warn!(
+                    "event=job_progress_not_deleted job={id} error={:?}",
+                    e.to_string()
+                );
+            }
+        });
+    }
+
     /// Deletes the records of one rejected submission that is old enough.
     fn delete_rejected_job(&self) {
         let now_ms = steady_ms();
@@ -294,12 +319,19 @@
 }
 
 /// Stores an item's output, retrying until it is on the log.
-async fn store_output(blobs: &BlobStore, job: &JobId, end: ItemRunEnd) -> ItemEnd {
+async fn store_output(
+    blobs: &BlobStore,
+    progress: &RunProgress,
+    job: &JobId,
+    end: ItemRunEnd,
+) -> ItemEnd {
     let ItemRunEnd::Succeeded(text) = end else {
         return ItemEnd::Errored;
     };
+    let partial = progress.take_stored();
     loop {
-        match blobs.put(job, text.clone().into_bytes(), false).await {
+        let output = text.clone().into_bytes();
+        match blobs.put_replacing(job, output, false, &partial).await {
             Ok(blob) => return ItemEnd::Succeeded(blob),
             Err(e) => {
                 log::info!(
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -5,7 +5,7 @@
 
 use amaranth_kernel::route_table::RouteTable;
 use amaranth_kernel::upstream_registry::UpstreamNotice;
-use amaranth_wire::batch_entry::SubmittedItem;
+use amaranth_wire::batch_entry::{ItemRequest, SubmittedItem};
 use amaranth_wire::id::{ItemId, JobId, RequestId, UpstreamId};
 use bytes::Bytes;
 use http::request::Parts;
@@ -70,13 +70,13 @@
     Errored,
 }
 
-/// The items of a job and the bodies of their requests, in the same order.
+/// The items of a job and their requests, in the same order.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ItemList {
     /// Items in the order of submission.
     pub items: Vec<SubmittedItem>,
-    /// Request body of each item.
-    pub bodies: Vec<Vec<u8>>,
+    /// Request of each item.
+    pub requests: Vec<ItemRequest>,
 }
 
 impl ItemList {
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -42,6 +42,8 @@
     Upstreams,
     /// Batch jobs and the ends of their items, written by the instances and read by all.
     Batch,
+    /// The latest progress of each running item, written and read by the instances that run items.
+    Progress,
     /// Bodies and outputs of items, read on demand.
     Blobs,
 }
@@ -52,6 +54,7 @@
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
             Self::Batch => "batch",
+            Self::Progress => "progress",
             Self::Blobs => "blobs",
         })
     }
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -259,7 +259,8 @@
     let on_members = Box::new(move |members| topic_apply::set_members(&listed, members));
     let member = placement.member().to_string();
     let shards = Arc::new(ShardAssignment::new(member, log.shard_count, on_members));
-    let committer = batch_committer(&log, &shards, work);
+    let committer = shared_committer(&log, LogTopic::Batch, &shards, work);
+    let progress_committer = shared_committer(&log, LogTopic::Progress, &shards, work);
     let blobs = Arc::new(BlobStore::new(
         log.clone(),
         blob_committer(&log, &shards, work),
@@ -268,6 +269,7 @@
         topic_apply::follow_configuration(routes.clone(), copies.clone(), codecs),
         topic_apply::follow_upstreams(pool.clone(), copies.clone(), codecs),
         topic_apply::follow_batch(replica.clone()),
+        topic_apply::follow_progress(replica.clone(), shards.clone()),
     ];
     let sink = topic_apply::peer_state_sink(routes.clone(), placement.clone(), codecs);
     let seeds = config.seeds.clone();
@@ -292,6 +294,7 @@
     let progress_writer = ProgressWriter {
         blobs: blobs.clone(),
         committer: committer.clone(),
+        progress_committer,
         member: shards.member().to_owned(),
     };
     let worker = BatchWorker::new(
@@ -318,9 +321,10 @@
     Arc::new(Gateway::new(routes, forward, intake, reader))
 }
 
-/// Creates the committer of the batch topic, whose one partition all members share.
-fn batch_committer(
+/// Creates the committer of a topic whose one partition all members share.
+fn shared_committer(
     log: &Arc<DurableLog>,
+    topic: LogTopic,
     shards: &Arc<ShardAssignment>,
     stop: &CancellationToken,
 ) -> BatchCommitter {
@@ -329,8 +333,7 @@
         rate,
         writers: writers.member_count(),
     };
-    let target = TopicPartition::from(LogTopic::Batch);
-    BatchCommitter::new(log.clone(), target, Box::new(budget), stop.clone())
+    BatchCommitter::new(log.clone(), topic.into(), Box::new(budget), stop.clone())
 }
 
 /// Creates the committer of blobs. Each member appends to one partition, chosen by its name.
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -6,6 +6,7 @@
 use amaranth_wire::id::UpstreamId;
 
 use crate::batch::replica::JobReplica;
+use crate::batch::shards::ShardAssignment;
 use crate::call::ProtocolCodecs;
 use crate::log_access::{LogEntry, LogTopic};
 use crate::member_name::MemberName;
@@ -36,6 +37,7 @@
     TopicFollower {
         topic: LogTopic::Configuration,
         min_period: Duration::ZERO,
+        is_wanted: Box::new(|| true),
         apply: Box::new(apply),
     }
 }
@@ -85,6 +87,7 @@
     TopicFollower {
         topic: LogTopic::Upstreams,
         min_period: UPSTREAM_READ_PERIOD,
+        is_wanted: Box::new(|| true),
         apply: Box::new(apply),
     }
 }
@@ -128,10 +131,28 @@
     TopicFollower {
         topic: LogTopic::Batch,
         min_period: BATCH_READ_PERIOD,
+        is_wanted: Box::new(|| true),
         apply: Box::new(move |update, sent| replica.apply(update, None, sent)),
     }
 }
 
+/// Follows the progress of items while this instance runs items.
+pub fn follow_progress(replica: Arc<JobReplica>, shards: Arc<ShardAssignment>) -> TopicFollower {
+    let followed = replica.clone();
+    TopicFollower {
+        topic: LogTopic::Progress,
+        min_period: BATCH_READ_PERIOD,
+        is_wanted: Box::new(move || {
+            let has_shards = shards.has_shards();
+            if !has_shards {
+                followed.forget_progress();
+            }
+            has_shards
+        }),
+        apply: Box::new(move |update, _| replica.apply_progress(update)),
+    }
+}
+
 /// Creates the callbacks that apply a peer's state to this instance.
 pub fn peer_state_sink(
     routes: Arc<RouteState>,
@@ -149,7 +170,7 @@
                     apply_notice(&placement.pool, codecs, entry);
                 }
             }
-            LogTopic::Batch | LogTopic::Blobs => {}
+            LogTopic::Batch | LogTopic::Progress | LogTopic::Blobs => {}
         }),
         apply_members: Box::new(move |names| set_members(&members, names)),
     }
--- a/crates/serve/src/topic_follower.rs
+++ b/crates/serve/src/topic_follower.rs
@@ -14,6 +14,8 @@
 const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay after the first failed read; it doubles with each failure, up to eight times the value.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which a topic that is not wanted is checked again.
+const UNWANTED_POLL_PERIOD: Duration = Duration::from_millis(200);
 /// Most doublings of [`RETRY_DELAY`].
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -32,6 +34,9 @@
     pub topic: LogTopic,
     /// Least time between two reads: entries that arrive within it are read together.
     pub min_period: Duration,
+    /// Whether the topic is followed now; asked before each read. A topic that is wanted again is
+    /// read anew.
+    pub is_wanted: Box<dyn Fn() -> bool + Send>,
     /// Applies entries; called with the time at which the read was sent.
     pub apply: Box<dyn FnMut(TopicUpdate, Instant) + Send>,
 }
@@ -46,6 +51,11 @@
         let mut next = None;
         let mut failures = 0;
         loop {
+            if !(self.is_wanted)() {
+                next = None;
+                sleep(UNWANTED_POLL_PERIOD).await;
+                continue;
+            }
             let result = match next {
                 None => self.read_newest(log).await,
                 Some(offset) => self.read_appended(log, offset).await,
--- a/crates/wire/src/batch_entry.rs
+++ b/crates/wire/src/batch_entry.rs
@@ -27,14 +27,14 @@
     }
 }
 
-/// One item as its caller submitted it.
+/// One item of a job, without what only its run needs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubmittedItem {
     /// Name of the item.
     pub id: ItemId,
-    /// Path of the request.
+    /// Path of the request, in entries of older versions; otherwise empty.
     pub path: String,
-    /// Headers of the request.
+    /// Headers of the request, in entries of older versions; otherwise empty.
     pub headers: Vec<(String, String)>,
     /// Prompt tokens plus the maximum number of output tokens.
     pub tokens: u64,
@@ -61,9 +61,9 @@
     pub path: String,
     /// Time of receipt, in Unix milliseconds.
     pub received_ms: u64,
-    /// Items of the job, without their bodies.
+    /// Items of the job, without their requests.
     pub items: Vec<SubmittedItem>,
-    /// Location of the request bodies, encoded as [`ItemBodies`].
+    /// Location of the requests, encoded as [`ItemRequests`].
     pub bodies: BlobRef,
     /// Limit under which the job is accepted or rejected; `None` in entries of older versions.
     #[serde(default)]
@@ -82,9 +82,40 @@
     }
 }
 
-/// Request bodies of a job, in the order of its items.
+/// Request of an item. It is stored apart from the job's entry, which every instance reads.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ItemBodies(pub Vec<serde_bytes::ByteBuf>);
+pub struct ItemRequest {
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Body of the request.
+    pub body: serde_bytes::ByteBuf,
+}
+
+/// Requests of a job, in the order of its items.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum ItemRequests {
+    /// Complete requests.
+    Requests(Vec<ItemRequest>),
+    /// Bodies only, as older versions stored them; the job's entry holds the rest.
+    Bodies(Vec<serde_bytes::ByteBuf>),
+}
+
+impl ItemRequests {
+    /// Returns the request of an item by its index in the job; `None` if it is out of range.
+    pub fn into_request(self, index: usize, item: &SubmittedItem) -> Option<ItemRequest> {
+        match self {
+            Self::Requests(requests) => requests.into_iter().nth(index),
+            Self::Bodies(bodies) => bodies.into_iter().nth(index).map(|body| ItemRequest {
+                path: item.path.clone(),
+                headers: item.headers.clone(),
+                body,
+            }),
+        }
+    }
+}
 
 /// Final outcome of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
