Measure the silence of an upstream by its events, not its bytes

Cause: streams and items were abandoned after a time without bytes. An upstream that sends a byte now and then held a stream until its caller's deadline and an item for ever. Shown: a_stream_without_events_goes_on_elsewhere and an_item_without_events_goes_on_elsewhere failed with a byte every 300 ms: the stream ended after two of six events, the item ran once and no more. Change: the time runs from the last complete event. Slow streams with whole events are untouched.

--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use rand::RngExt;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::attempt::{AttemptEnd, AttemptLimits, ForwardRequest, attempt};
 use crate::batch::blobs::BlobStore;
@@ -28,7 +28,7 @@
 use crate::route_state::RouteLookup;
 use crate::upstream_pool::{PoolStep, UpstreamPermit};
 
-/// Longest time without data before an upstream's connection is closed. An engine that preempts an
+/// Longest time without an event before an upstream's connection is closed. An engine that preempts an
 /// item recomputes it from the start, which takes well under this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Attempts to read the output of an earlier run, before the item starts from the beginning.
@@ -337,20 +337,23 @@
 
     async fn read_events(&mut self, answer: &mut OpenAnswer) -> Result<(), String> {
         let mut framing = EventFraming::new();
+        // Bytes that complete no event don't prove progress.
+        let mut idle_deadline = Instant::now() + IDLE_TIMEOUT;
         loop {
-            let chunk = match timeout(IDLE_TIMEOUT, answer.next_chunk()).await {
+            let chunk = match timeout_at(idle_deadline, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) if framing.has_partial() => {
                     return Err("stream ended within an event".to_owned());
                 }
                 Ok(Ok(None)) => return Ok(()),
                 Ok(Err(e)) => return Err(e.to_string()),
-                Err(_) => return Err("idle timeout: no data from the upstream".to_owned()),
+                Err(_) => return Err("idle timeout: no event from the upstream".to_owned()),
             };
             framing
                 .push(&chunk)
                 .map_err(|_| "event exceeds the size limit".to_owned())?;
             while let Some(event) = framing.next_event() {
+                idle_deadline = Instant::now() + IDLE_TIMEOUT;
                 let last_event = self.progress.last_event();
                 let expected = last_event.map_or(event.id, |last| Some(last + 1));
                 if event.id != expected {
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -17,6 +17,9 @@
     run: ForwardRun,
     source: Option<(OpenAnswer, UpstreamPermit)>,
     framing: EventFraming,
+    /// When the upstream is abandoned unless another event is complete. Bytes that complete no event
+    /// don't move it.
+    silence_deadline: Instant,
     last_event: Option<u64>,
     request_started: Instant,
     resumed: bool,
@@ -47,10 +50,12 @@
         trace: RequestTrace,
     ) -> Self {
         let request_started = run.started();
+        let silence_deadline = run.silence_deadline();
         Self {
             run,
             source: Some((answer, permit)),
             framing: EventFraming::new(),
+            silence_deadline,
             last_event: None,
             request_started,
             resumed: false,
@@ -80,11 +85,10 @@
     }
 
     async fn step(&mut self) -> RelayStep {
-        let silence_deadline = self.run.silence_deadline();
         let Some((answer, _)) = &mut self.source else {
             return RelayStep::Broken("no upstream to read from".to_owned());
         };
-        match timeout_at(silence_deadline, answer.next_chunk()).await {
+        match timeout_at(self.silence_deadline, answer.next_chunk()).await {
             Ok(Ok(Some(chunk))) => match self.framing.push(&chunk) {
                 Ok(()) => self.complete_events(),
                 Err(_) => RelayStep::Broken("an event exceeds the size limit".to_owned()),
@@ -94,7 +98,7 @@
             }
             Ok(Ok(None)) => RelayStep::End,
             Ok(Err(e)) => RelayStep::Broken(e.to_string()),
-            Err(_) => RelayStep::Broken("no data before the silence deadline".to_owned()),
+            Err(_) => RelayStep::Broken("no event before the silence deadline".to_owned()),
         }
     }
 
@@ -103,6 +107,7 @@
     fn complete_events(&mut self) -> RelayStep {
         let mut events = BytesMut::new();
         while let Some(event) = self.framing.next_event() {
+            self.silence_deadline = self.run.silence_deadline();
             if let (Some(id), Some(last)) = (event.id, self.last_event) {
                 if self.resumed && id <= last {
                     continue;
@@ -147,6 +152,7 @@
                 self.trace
                     .resumed(permit.upstream.as_str(), self.last_event);
                 self.source = Some((answer, permit));
+                self.silence_deadline = self.run.silence_deadline();
                 return Ok(());
             }
         }
