--- a/crates/kernel/src/job_table.rs
+++ b/crates/kernel/src/job_table.rs
@@ -1,5 +1,6 @@
 //! State of batch jobs, built from log entries. Entries may be applied in any order: of conflicting
-//! entries, the one with the lowest offset takes effect.
+//! entries, the one with the lowest offset takes effect. Only submissions under a quota need all
+//! entries before them, as these decide whether the job fits.
 
 use std::collections::{BTreeMap, HashMap};
 
--- a/crates/serve/src/batch/replica.rs
+++ b/crates/serve/src/batch/replica.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use amaranth_kernel::job_table::{ApplyOutcome, JobTable};
 use amaranth_net::clock::steady_ms;
 use amaranth_wire::batch_entry::{BatchEntry, ItemProgress};
 use amaranth_wire::id::{ItemId, JobId, LogOffset};
-use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -49,6 +49,7 @@
 }
 
 impl ReplicaState {
+    /// Applies a record of the batch topic.
     fn add(&mut self, record: LogEntry) {
         let (key, offset) = (record.key.clone(), record.offset);
         match self.pieces.add(record) {
@@ -63,9 +64,8 @@
             }
         }
     }
-}
 
-impl ReplicaState {
+    /// Applies a complete entry and remembers the key under which it is deleted.
     fn apply(&mut self, key: String, offset: LogOffset, entry: BatchEntry) {
         let job = entry.job().clone();
         let call = match &entry {
@@ -96,9 +96,8 @@
             self.rejected_keys.remove(&call);
         }
     }
-}
 
-impl ReplicaState {
+    /// Applies a record of the progress topic.
     fn add_progress(&mut self, record: LogEntry) {
         let LogEntry { key, value, offset } = record;
         let Some(value) = value else {
