Log prompt parts, cause and progress of failed attempts

Each failed attempt now says whether the connection was lost, how much of the answer had arrived, and which shared parts the prompt has; so does each ended request. Logic is unchanged.

--- a/crates/kernel/src/attempt_plan.rs
+++ b/crates/kernel/src/attempt_plan.rs
@@ -21,6 +21,26 @@
     MayHaveRun,
 }
 
+/// Why an attempt failed, as far as it tells about the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureCause {
+    /// The upstream ended the connection before its answer was complete, as it does in a crash.
+    ConnectionLost,
+    /// Any other cause.
+    Other,
+}
+
+/// How much of an answer an attempt had brought when it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing.
+    None,
+    /// The head, and no complete event of a stream.
+    Head,
+    /// At least one event of a stream.
+    Events,
+}
+
 /// Failed attempts of one request so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AttemptCount {
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use amaranth_wire::id::{RequestId, UpstreamId};
+use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause, FailureProof};
+use amaranth_wire::id::{PromptPartId, RequestId, UpstreamId};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
@@ -36,6 +37,8 @@
     pub path: String,
     /// Headers without the hop-by-hop ones.
     pub headers: HeaderMap,
+    /// Parts of the prompt that other requests may have, too.
+    pub shared_parts: Vec<PromptPartId>,
     /// Complete body.
     pub body: Bytes,
 }
@@ -44,20 +47,63 @@
 pub enum AttemptEnd {
     /// The upstream answered; the body is still to be read.
     Answer(Box<OpenAnswer>, UpstreamPermit),
-    /// The request certainly didn't run.
-    NotRun {
-        /// Reason, for log lines.
-        why: String,
-        /// Upstream that was tried.
-        upstream: UpstreamId,
-    },
-    /// The attempt failed and the request may have run.
-    Broken {
-        /// Reason, for log lines.
-        why: String,
-        /// Upstream that was tried.
-        upstream: UpstreamId,
-    },
+    /// No answer came that belongs to the request.
+    Failed(FailedAttempt),
+}
+
+/// An attempt that failed.
+#[derive(Debug, Clone)]
+pub struct FailedAttempt {
+    /// Upstream that was tried.
+    pub upstream: UpstreamId,
+    /// Whether the request can have run.
+    pub proof: FailureProof,
+    /// Why it failed, as far as it tells about the upstream.
+    pub cause: FailureCause,
+    /// How much of the answer had arrived.
+    pub progress: AnswerProgress,
+    /// Reason, for log lines.
+    pub why: String,
+}
+
+impl FailedAttempt {
+    /// Creates a failure of a request that certainly didn't run.
+    pub fn not_run(upstream: UpstreamId, why: String) -> Self {
+        Self {
+            upstream,
+            proof: FailureProof::NotRun,
+            cause: FailureCause::Other,
+            progress: AnswerProgress::None,
+            why,
+        }
+    }
+
+    /// Creates a failure of a request that may have run, before any of its answer arrived.
+    pub fn may_have_run(upstream: UpstreamId, why: String) -> Self {
+        Self {
+            proof: FailureProof::MayHaveRun,
+            ..Self::not_run(upstream, why)
+        }
+    }
+
+    /// Creates a failure of sending a request or of reading its answer.
+    pub fn from_error(upstream: UpstreamId, error: &SendError) -> Self {
+        let why = error.to_string();
+        match error {
+            SendError::Unsent(_) => Self::not_run(upstream, why),
+            SendError::Lost(_) => Self {
+                cause: FailureCause::ConnectionLost,
+                ..Self::may_have_run(upstream, why)
+            },
+            SendError::Broken(_) => Self::may_have_run(upstream, why),
+        }
+    }
+
+    /// Sets how much of the answer had arrived.
+    pub fn with_progress(mut self, progress: AnswerProgress) -> Self {
+        self.progress = progress;
+        self
+    }
 }
 
 /// Time limits of one attempt, and where a stream resumes.
@@ -84,6 +130,12 @@
     }
 }
 
+/// Joins the ids of a prompt's shared parts, for log lines.
+pub fn join_parts(parts: &[PromptPartId]) -> String {
+    let ids: Vec<_> = parts.iter().map(PromptPartId::as_str).collect();
+    ids.join(",")
+}
+
 /// Sends a request to an upstream and waits for the head of the answer.
 pub async fn attempt(
     pool: &UpstreamPool,
@@ -100,18 +152,14 @@
     );
     match sent.await {
         Ok(Ok(answer)) => check_answer(codec, permit, request, answer),
-        Ok(Err(SendError::Unsent(why))) => {
-            permit.record_failure();
-            AttemptEnd::NotRun { why, upstream }
-        }
-        Ok(Err(SendError::Broken(why))) => {
+        Ok(Err(e)) => {
             permit.record_failure();
-            AttemptEnd::Broken { why, upstream }
+            AttemptEnd::Failed(FailedAttempt::from_error(upstream, &e))
         }
         Err(_) => {
             permit.record_failure();
             let why = "no answer before the deadline".to_owned();
-            AttemptEnd::Broken { why, upstream }
+            AttemptEnd::Failed(FailedAttempt::may_have_run(upstream, why))
         }
     }
 }
@@ -154,12 +202,12 @@
         let why = format!("refused with {}", answer.status().as_u16());
         // The body of a refusal is short: reading it makes the connection reusable.
         tokio::spawn(answer.read_all(MAX_REFUSAL_BYTES));
-        return AttemptEnd::NotRun { why, upstream };
+        return AttemptEnd::Failed(FailedAttempt::not_run(upstream, why));
     }
     if metadata.request.as_deref() != Some(request.id.as_str()) {
         permit.record_failure();
         let why = format!("the answer is for request {:?}", metadata.request);
-        return AttemptEnd::Broken { why, upstream };
+        return AttemptEnd::Failed(FailedAttempt::may_have_run(upstream, why));
     }
     AttemptEnd::Answer(Box::new(answer), permit)
 }
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_kernel::attempt_plan::FailureProof;
 use amaranth_kernel::event_framing::EventFraming;
 use amaranth_kernel::item_order::WaitingItem;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
@@ -285,9 +286,11 @@
         .await
         {
             AttemptEnd::Answer(answer, permit) => self.handle_answer(*answer, permit, route).await,
-            AttemptEnd::NotRun { .. } => ItemStep::RetryLater,
-            AttemptEnd::Broken { why, upstream } => {
-                self.log_failed_attempt(upstream.as_str(), &why);
+            AttemptEnd::Failed(failed) if failed.proof == FailureProof::NotRun => {
+                ItemStep::RetryLater
+            }
+            AttemptEnd::Failed(failed) => {
+                self.log_failed_attempt(failed.upstream.as_str(), &failed.why);
                 ItemStep::Retry
             }
         }
@@ -380,6 +383,7 @@
             id: self.pending.item.id.as_str().parse().ok()?,
             method: Method::POST,
             path: input.path.clone(),
+            shared_parts: (self.context.codec.read_shared_parts)(&headers),
             headers,
             body: Bytes::from(input.body.to_vec()),
         })
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -6,7 +6,7 @@
 use amaranth_kernel::route_table::RouteTable;
 use amaranth_kernel::upstream_registry::UpstreamNotice;
 use amaranth_wire::batch_entry::{ItemRequest, SubmittedItem, total_tokens};
-use amaranth_wire::id::{ItemId, JobId, RequestId, UpstreamId};
+use amaranth_wire::id::{ItemId, JobId, PromptPartId, RequestId, UpstreamId};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
@@ -141,6 +141,8 @@
     pub write_metadata: fn(&mut HeaderMap, &AttemptMetadata<'_>),
     /// Reads the metadata from the head of an answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerMetadata,
+    /// Reads which parts of a request's prompt other requests may have, too, in their order.
+    pub read_shared_parts: fn(&HeaderMap) -> Vec<PromptPartId>,
 }
 
 /// An upstream's id with its announcement.
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -4,7 +4,9 @@
 //! than the peer announced. A failed request is known to be unsent if no byte of it was written.
 
 use std::collections::HashMap;
+use std::error::Error;
 use std::fmt;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,7 +36,10 @@
 pub enum SendError {
     /// No byte of the request was written.
     Unsent(String),
-    /// The connection failed after the peer may have received the request.
+    /// The peer ended the connection before its answer was complete; it may have received the
+    /// request.
+    Lost(String),
+    /// The request failed in another way after the peer may have received it.
     Broken(String),
 }
 
@@ -49,12 +54,37 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unsent(why) => write!(f, "not sent: {why}"),
+            Self::Lost(why) => write!(f, "connection lost: {why}"),
             Self::Broken(why) => write!(f, "connection failed: {why}"),
         }
     }
 }
 
-impl std::error::Error for SendError {}
+impl From<&hyper::Error> for SendError {
+    /// Converts the error of a request that the peer may have received.
+    fn from(error: &hyper::Error) -> Self {
+        match is_connection_lost(error) {
+            true => Self::Lost(error.to_string()),
+            false => Self::Broken(error.to_string()),
+        }
+    }
+}
+
+fn is_connection_lost(error: &hyper::Error) -> bool {
+    let io = error.source().and_then(|e| e.downcast_ref::<io::Error>());
+    error.is_incomplete_message()
+        || io.is_some_and(|e| {
+            matches!(
+                e.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            )
+        })
+}
+
+impl Error for SendError {}
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -123,7 +153,7 @@
                 Ok(response) => return Ok(self.answer(key, connection, response)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken(e.error().to_string())),
+                    None => return Err(SendError::from(e.error())),
                 },
             }
         }
@@ -133,7 +163,7 @@
             Ok(response) => Ok(self.answer(key, connection, response)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Unsent(e.error().to_string())),
-                None => Err(SendError::Broken(e.error().to_string())),
+                None => Err(SendError::from(e.error())),
             },
         }
     }
@@ -243,7 +273,7 @@
         loop {
             match self.response.body_mut().frame().await {
                 None => return Ok(None),
-                Some(Err(e)) => return Err(SendError::Broken(e.to_string())),
+                Some(Err(e)) => return Err(SendError::from(&e)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{
-    AttemptBounds, AttemptCount, AttemptDecision, FailureProof, decide_after_failure,
+    AttemptBounds, AttemptCount, AttemptDecision, decide_after_failure,
 };
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 
 use crate::answer::RequestFailure;
-use crate::attempt::{AttemptEnd, AttemptLimits, ForwardRequest, attempt};
+use crate::attempt::{
+    AttemptEnd, AttemptLimits, FailedAttempt, ForwardRequest, attempt, join_parts,
+};
 use crate::call::UpstreamCodec;
 use crate::connection_pool::OpenAnswer;
 use crate::placement_service::PlacementService;
@@ -140,19 +142,17 @@
                 limits,
             )
             .await;
-            let (why, upstream, proof) = match step {
+            let failed = match step {
                 AttemptEnd::Answer(answer, permit) => {
-                    if self.retries_failure(&answer) {
-                        let why = format!("answered with {}", answer.status().as_u16());
-                        (why, permit.upstream.clone(), FailureProof::MayHaveRun)
-                    } else {
+                    if !self.retries_failure(&answer) {
                         return Ok((*answer, permit));
                     }
+                    let why = format!("answered with {}", answer.status().as_u16());
+                    FailedAttempt::may_have_run(permit.upstream.clone(), why)
                 }
-                AttemptEnd::NotRun { why, upstream } => (why, upstream, FailureProof::NotRun),
-                AttemptEnd::Broken { why, upstream } => (why, upstream, FailureProof::MayHaveRun),
+                AttemptEnd::Failed(failed) => failed,
             };
-            self.record_failure(upstream, proof, &why)?;
+            self.record_failure(failed)?;
         }
     }
 
@@ -163,12 +163,14 @@
     }
 
     /// Records a failed attempt; an error if no other may follow.
-    pub fn record_failure(
-        &mut self,
-        upstream: UpstreamId,
-        proof: FailureProof,
-        why: &str,
-    ) -> Result<(), RequestFailure> {
+    pub fn record_failure(&mut self, failed: FailedAttempt) -> Result<(), RequestFailure> {
+        let FailedAttempt {
+            upstream,
+            proof,
+            cause,
+            progress,
+            why,
+        } = failed;
         self.count.add(proof);
         let bounds = AttemptBounds {
             repeatable: self.is_repeatable(),
@@ -179,9 +181,10 @@
         let next = decide_after_failure(self.count, proof, bounds, &mut budget);
         drop(budget);
         log::info!(
-            "event=attempt_failed request={} upstream={upstream} proof={proof:?} why={} attempts={} remaining_ms={} next={next:?}",
+            "event=attempt_failed request={} upstream={upstream} proof={proof:?} cause={cause:?} progress={progress:?} parts={} why={} attempts={} remaining_ms={} next={next:?}",
             self.request.id,
-            quote(why),
+            join_parts(&self.request.shared_parts),
+            quote(&why),
             self.count.may_have_run + self.count.not_run,
             bounds.remaining_ms,
         );
@@ -189,10 +192,10 @@
         match next {
             AttemptDecision::Again => Ok(()),
             AttemptDecision::Late => Err(RequestFailure::Late),
-            AttemptDecision::Fail => Err(RequestFailure::Failed(why.to_owned())),
+            AttemptDecision::Fail => Err(RequestFailure::Failed(why)),
             AttemptDecision::Refuse => Err(RequestFailure::Refused {
                 retry_after_ms: REFUSED_RETRY_MS,
-                why: why.to_owned(),
+                why,
             }),
         }
     }
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -153,6 +153,7 @@
             id: metadata.request,
             method: parts.method,
             path: path.to_owned(),
+            shared_parts: (self.forward.codec.read_shared_parts)(&parts.headers),
             headers: parts.headers,
             body,
         };
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use amaranth_kernel::attempt_plan::FailureProof;
+use amaranth_kernel::attempt_plan::AnswerProgress;
 use amaranth_kernel::route_table::{RouteKind, RouteRule, RouteTable};
 use amaranth_wire::id::RequestId;
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use rand::RngExt;
 
 use crate::answer::{Answer, AnswerBody, RequestFailure, relay_answer};
-use crate::attempt::{ForwardRequest, strip_connection_headers};
+use crate::attempt::{FailedAttempt, ForwardRequest, strip_connection_headers};
 use crate::connection_pool::OpenAnswer;
 use crate::forward_run::{ForwardContext, ForwardRun};
 use crate::request_trace::RequestTrace;
@@ -35,7 +35,8 @@
     request: ForwardRequest,
     caller_timeout_ms: Option<u64>,
 ) -> Answer {
-    let mut trace = RequestTrace::new(request.id.clone(), &route.name, table.revision);
+    let mut trace = RequestTrace::new(request.id.clone(), &route.name, table.revision)
+        .with_parts(&request.shared_parts);
     let Some(group) = route.pick_group(rand::rng().random()) else {
         return answer_failure(trace, RequestFailure::NoRoute);
     };
@@ -94,19 +95,24 @@
         let status = answer.status();
         let headers = relayed_headers(answer.headers());
         let deadline = run.deadline();
-        let why = match tokio::time::timeout_at(deadline, answer.read_all(MAX_ANSWER_BYTES)).await {
-            Ok(Ok(body)) => {
-                let took = run.started().elapsed().as_secs_f64() * 1000.0;
-                permit.record_success(status.is_success().then_some(took));
-                trace.end("served", "", run.count());
-                let body = Full::new(body).map_err(|e| match e {}).boxed_unsync();
-                return relay_answer(status, headers, body);
-            }
-            Ok(Err(e)) => e.to_string(),
-            Err(_) => "the answer was not complete by the deadline".to_owned(),
-        };
+        let upstream = permit.upstream.clone();
+        let failed =
+            match tokio::time::timeout_at(deadline, answer.read_all(MAX_ANSWER_BYTES)).await {
+                Ok(Ok(body)) => {
+                    let took = run.started().elapsed().as_secs_f64() * 1000.0;
+                    permit.record_success(status.is_success().then_some(took));
+                    trace.end("served", "", run.count());
+                    let body = Full::new(body).map_err(|e| match e {}).boxed_unsync();
+                    return relay_answer(status, headers, body);
+                }
+                Ok(Err(e)) => FailedAttempt::from_error(upstream, &e),
+                Err(_) => {
+                    let why = "the answer was not complete by the deadline".to_owned();
+                    FailedAttempt::may_have_run(upstream, why)
+                }
+            };
         permit.record_failure();
-        let next = retry(&mut run, &permit, &why).await;
+        let next = retry(&mut run, failed.with_progress(AnswerProgress::Head)).await;
         match next {
             Ok((next_answer, next_permit)) => (answer, permit) = (next_answer, next_permit),
             Err(e) => {
@@ -119,10 +125,9 @@
 
 async fn retry(
     run: &mut ForwardRun,
-    permit: &UpstreamPermit,
-    why: &str,
+    failed: FailedAttempt,
 ) -> Result<(OpenAnswer, UpstreamPermit)> {
-    run.record_failure(permit.upstream.clone(), FailureProof::MayHaveRun, why)?;
+    run.record_failure(failed)?;
     run.open(None).await
 }
 
--- a/crates/serve/src/request_trace.rs
+++ b/crates/serve/src/request_trace.rs
@@ -2,9 +2,11 @@
 
 use amaranth_kernel::attempt_plan::AttemptCount;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::id::{ConfigRevision, RequestId};
+use amaranth_wire::id::{ConfigRevision, PromptPartId, RequestId};
 use tokio::time::Instant;
 
+use crate::attempt::join_parts;
+
 /// Collects what is logged and measured when a request ends; dropping it means that the caller
 /// left.
 #[derive(Debug)]
@@ -16,6 +18,7 @@
     upstream: String,
     load: f64,
     first_event_ms: Option<u64>,
+    parts: String,
     ended: bool,
 }
 
@@ -30,10 +33,17 @@
             upstream: String::from("none"),
             load: 0.0,
             first_event_ms: None,
+            parts: String::new(),
             ended: false,
         }
     }
 
+    /// Sets the shared parts of the request's prompt.
+    pub fn with_parts(mut self, parts: &[PromptPartId]) -> Self {
+        self.parts = join_parts(parts);
+        self
+    }
+
     /// Time at which the request was received.
     pub fn started(&self) -> Instant {
         self.started
@@ -73,7 +83,7 @@
         metrics::counter!("requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("request_seconds").record(elapsed.as_secs_f64());
         log::info!(
-            "event=request_ended request={} route={} revision={} upstream={} load={:.1} outcome={outcome} why={} failed_attempts={} refused_attempts={} first_event_ms={} ms={}",
+            "event=request_ended request={} route={} revision={} upstream={} load={:.1} outcome={outcome} why={} failed_attempts={} refused_attempts={} first_event_ms={} ms={} parts={}",
             self.id,
             self.route,
             self.revision,
@@ -84,6 +94,7 @@
             count.not_run,
             self.first_event_ms.map_or(-1, |ms| ms as i64),
             elapsed.as_millis(),
+            self.parts,
         );
     }
 }
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -1,13 +1,14 @@
 //! Relays an event stream in complete events, and resumes it at another upstream after a failure if
 //! the route allows it.
 
-use amaranth_kernel::attempt_plan::FailureProof;
+use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause};
 use amaranth_kernel::event_framing::EventFraming;
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{BrokenBody, RequestFailure};
-use crate::connection_pool::OpenAnswer;
+use crate::attempt::FailedAttempt;
+use crate::connection_pool::{OpenAnswer, SendError};
 use crate::forward_run::ForwardRun;
 use crate::request_trace::RequestTrace;
 use crate::upstream_pool::UpstreamPermit;
@@ -21,6 +22,8 @@
     /// don't move it.
     silence_deadline: Instant,
     last_event: Option<u64>,
+    /// Whether the current upstream has sent an event.
+    has_events: bool,
     request_started: Instant,
     resumed: bool,
     trace: RequestTrace,
@@ -35,7 +38,30 @@
     /// The stream ended after a complete event.
     End,
     /// The stream failed, with the reason.
-    Broken(String),
+    Broken(BrokenStream),
+}
+
+/// Why reading from a stream failed.
+struct BrokenStream {
+    why: String,
+    cause: FailureCause,
+}
+
+impl BrokenStream {
+    fn new(why: impl Into<String>) -> Self {
+        Self {
+            why: why.into(),
+            cause: FailureCause::Other,
+        }
+    }
+
+    /// The upstream ended the connection.
+    fn lost(why: impl Into<String>) -> Self {
+        Self {
+            why: why.into(),
+            cause: FailureCause::ConnectionLost,
+        }
+    }
 }
 
 /// Result of relaying events.
@@ -57,6 +83,7 @@
             framing: EventFraming::new(),
             silence_deadline,
             last_event: None,
+            has_events: false,
             request_started,
             resumed: false,
             trace,
@@ -73,8 +100,9 @@
                     self.finish();
                     return None;
                 }
-                RelayStep::Broken(why) => {
-                    if let Err(failure) = self.resume(&why).await {
+                RelayStep::Broken(broken) => {
+                    let why = broken.why.clone();
+                    if let Err(failure) = self.resume(broken).await {
                         self.trace
                             .end(failure.outcome(), &failure.reason(), self.run.count());
                         return Some(Err(BrokenBody(why)));
@@ -86,19 +114,20 @@
 
     async fn step(&mut self) -> RelayStep {
         let Some((answer, _)) = &mut self.source else {
-            return RelayStep::Broken("no upstream to read from".to_owned());
+            return RelayStep::Broken(BrokenStream::new("no upstream to read from"));
         };
         match timeout_at(self.silence_deadline, answer.next_chunk()).await {
             Ok(Ok(Some(chunk))) => match self.framing.push(&chunk) {
                 Ok(()) => self.complete_events(),
-                Err(_) => RelayStep::Broken("an event exceeds the size limit".to_owned()),
+                Err(_) => RelayStep::Broken(BrokenStream::new("an event exceeds the size limit")),
             },
             Ok(Ok(None)) if self.framing.has_partial() => {
-                RelayStep::Broken("the stream ended within an event".to_owned())
+                RelayStep::Broken(BrokenStream::lost("the stream ended within an event"))
             }
             Ok(Ok(None)) => RelayStep::End,
-            Ok(Err(e)) => RelayStep::Broken(e.to_string()),
-            Err(_) => RelayStep::Broken("no event before the silence deadline".to_owned()),
+            Ok(Err(e @ SendError::Lost(_))) => RelayStep::Broken(BrokenStream::lost(e.to_string())),
+            Ok(Err(e)) => RelayStep::Broken(BrokenStream::new(e.to_string())),
+            Err(_) => RelayStep::Broken(BrokenStream::new("no event before the silence deadline")),
         }
     }
 
@@ -113,7 +142,8 @@
                     continue;
                 }
                 if self.resumed && id > last + 1 {
-                    return RelayStep::Broken(format!("event {id} follows {last}"));
+                    let why = format!("event {id} follows {last}");
+                    return RelayStep::Broken(BrokenStream::new(why));
                 }
             }
             self.last_event = event.id.or(self.last_event);
@@ -122,6 +152,7 @@
         if events.is_empty() {
             return RelayStep::More;
         }
+        self.has_events = true;
         self.trace.first_event();
         RelayStep::Events(events.freeze())
     }
@@ -135,20 +166,27 @@
         self.trace.end("served", "", self.run.count());
     }
 
-    async fn resume(&mut self, why: &str) -> std::result::Result<(), RequestFailure> {
+    async fn resume(&mut self, broken: BrokenStream) -> std::result::Result<(), RequestFailure> {
         let (answer, permit) = self.source.take().ok_or(RequestFailure::Late)?;
         // Closes the connection, which cancels the request at the upstream.
         drop(answer);
         permit.record_failure();
-        let upstream = permit.upstream.clone();
+        let failed = FailedAttempt {
+            cause: broken.cause,
+            progress: match self.has_events {
+                true => AnswerProgress::Events,
+                false => AnswerProgress::Head,
+            },
+            ..FailedAttempt::may_have_run(permit.upstream.clone(), broken.why)
+        };
         drop(permit);
         self.framing = EventFraming::new();
         loop {
-            self.run
-                .record_failure(upstream.clone(), FailureProof::MayHaveRun, why)?;
+            self.run.record_failure(failed.clone())?;
             let (answer, permit) = self.run.open(self.last_event).await?;
             if answer.status().is_success() {
                 self.resumed = true;
+                self.has_events = false;
                 self.trace
                     .resumed(permit.upstream.as_str(), self.last_event);
                 self.source = Some((answer, permit));
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -167,6 +167,10 @@
     /// Name of an online request.
     RequestId
 );
+text_id!(
+    /// Name of a part of a prompt. Requests that share a part name it alike.
+    PromptPartId
+);
 text_id!(
     /// Idempotency key of an operator command: a command that is sent again takes effect once.
     CommandId
