--- /dev/null
+++ b/crates/kernel/src/crash_evidence.rs
@@ -0,0 +1,178 @@
+//! Finds the part of a prompt that crashes upstreams.
+//!
+//! The load: a few requests a second have a part in their prompts that crashes each upstream that
+//! begins to answer them. Every attempt and every repeat by a caller costs an upstream, together with
+//! the sound requests that it served. Sound requests share all other parts with them.
+//!
+//! A part is suspected if requests with it are lost in crashes, and acquitted if an upstream answers
+//! any request with it. Instances see few requests each, so their reports are judged together, and all
+//! are asked for such answers before a part is convicted.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use amaranth_wire::id::{PromptPartId, UpstreamId};
+use amaranth_wire::quarantine_message::LossReport;
+
+/// Score from which a part is convicted: two crashes as answers began, or more of other crashes.
+const CONVICTION_SCORE: usize = 4;
+/// Score of a crash as the answer to a request began, which no waiting request explains.
+const BEGUN_SCORE: usize = 2;
+/// Time in which instances can answer an accusation, in milliseconds: several round trips between
+/// distant data centres.
+pub const ALIBI_WAIT_MS: u64 = 100;
+/// Lifetime of an alibi, in milliseconds. It is short, as a new version of an upstream may crash on
+/// what the former one answered.
+pub const ALIBI_EXPIRY_MS: u64 = 10_000;
+/// Lifetime of a report, in milliseconds.
+const REPORT_EXPIRY_MS: u64 = 30_000;
+/// Losses at one upstream within this time are of the same crash, in milliseconds: restarting takes
+/// longer.
+const SAME_CRASH_MS: u64 = 2_000;
+/// Crashes of several upstreams within this time count once for waiting requests, in milliseconds, as
+/// they may have a common cause.
+const COMMON_CAUSE_MS: u64 = 250;
+/// Most reports that are kept.
+const MAX_REPORTS: usize = 512;
+
+#[derive(Debug)]
+struct TimedReport {
+    report: LossReport,
+    at_ms: u64,
+}
+
+/// Reports of lost requests, judged by part.
+#[derive(Debug, Default)]
+pub struct CrashEvidence {
+    reports: VecDeque<TimedReport>,
+    /// Accused parts, with the time of the accusation.
+    accused: HashMap<PromptPartId, u64>,
+    /// Acquitted parts, with the time until which they are.
+    alibis: HashMap<PromptPartId, u64>,
+}
+
+impl CrashEvidence {
+    /// Starts without reports.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a report; returns the parts that it accuses, for which all instances must be asked.
+    pub fn record(&mut self, mut report: LossReport, now_ms: u64) -> Vec<PromptPartId> {
+        self.expire(now_ms);
+        report.parts.retain(|part| !self.alibis.contains_key(part));
+        let parts = report.parts.clone();
+        if parts.is_empty() {
+            return parts;
+        }
+        self.reports.push_back(TimedReport {
+            report,
+            at_ms: now_ms,
+        });
+        if self.reports.len() > MAX_REPORTS {
+            self.reports.pop_front();
+        }
+        let is_new =
+            |part: &PromptPartId| !self.accused.contains_key(part) && self.request_count(part) > 1;
+        let accused: Vec<_> = parts.into_iter().filter(is_new).collect();
+        let rows = accused.iter().map(|part| (part.clone(), now_ms));
+        self.accused.extend(rows);
+        accused
+    }
+
+    /// Acquits a part, as an upstream has answered a request with it.
+    pub fn acquit(&mut self, part: &PromptPartId, now_ms: u64) {
+        self.alibis.insert(part.clone(), now_ms + ALIBI_EXPIRY_MS);
+        self.accused.remove(part);
+        for row in &mut self.reports {
+            row.report.parts.retain(|suspect| suspect != part);
+        }
+        self.reports.retain(|row| !row.report.parts.is_empty());
+    }
+
+    /// When the next accusation can first be judged, in milliseconds; `None` if there is none.
+    pub fn next_judgement_ms(&self, now_ms: u64) -> Option<u64> {
+        let due = self.accused.values().map(|at_ms| at_ms + ALIBI_WAIT_MS);
+        due.filter(|due_ms| *due_ms > now_ms).min()
+    }
+
+    /// Convicts parts whose accusation is old enough. Parts that occur in just the same reports are
+    /// convicted together. Reports that a conviction explains no longer count against other parts.
+    pub fn convict(&mut self, now_ms: u64) -> Vec<Vec<PromptPartId>> {
+        self.expire(now_ms);
+        let mut convicted = Vec::new();
+        while let Some(part) = self.strongest_case(now_ms) {
+            let mut parts = self.parts_reported_with(&part);
+            parts.sort();
+            self.reports.retain(|row| {
+                let has = |part| row.report.parts.contains(part);
+                !parts.iter().all(has)
+            });
+            self.accused.retain(|accused, _| !parts.contains(accused));
+            convicted.push(parts);
+        }
+        convicted
+    }
+
+    fn strongest_case(&self, now_ms: u64) -> Option<PromptPartId> {
+        let due = self.accused.iter();
+        let due = due.filter(|(_, at_ms)| **at_ms + ALIBI_WAIT_MS <= now_ms);
+        let scored = due.map(|(part, _)| (self.score(part), part));
+        let guilty = scored
+            .filter(|(score, part)| *score >= CONVICTION_SCORE && self.request_count(part) > 1);
+        guilty.max().map(|(_, part)| part.clone())
+    }
+
+    /// Parts that occur in the same reports as this one, and in no others.
+    fn parts_reported_with(&self, part: &PromptPartId) -> Vec<PromptPartId> {
+        let Some(first) = self.reports_of(part).next() else {
+            return vec![part.clone()];
+        };
+        let count = self.reports_of(part).count();
+        let mut parts = first.report.parts.clone();
+        parts.retain(|other| {
+            let together = self
+                .reports_of(part)
+                .filter(|row| row.report.parts.contains(other));
+            together.count() == count && self.reports_of(other).count() == count
+        });
+        parts
+    }
+
+    fn reports_of<'a>(
+        &'a self,
+        part: &'a PromptPartId,
+    ) -> impl Iterator<Item = &'a TimedReport> + 'a {
+        self.reports
+            .iter()
+            .filter(move |row| row.report.parts.contains(part))
+    }
+
+    fn request_count(&self, part: &PromptPartId) -> usize {
+        let requests = self.reports_of(part).map(|row| &row.report.request);
+        requests.collect::<HashSet<_>>().len()
+    }
+
+    fn score(&self, part: &PromptPartId) -> usize {
+        let mut begun: HashMap<&UpstreamId, u64> = HashMap::new();
+        let mut crashes = 0;
+        let mut waiting = HashSet::new();
+        for row in self.reports_of(part) {
+            if !row.report.begun {
+                waiting.insert(row.at_ms / COMMON_CAUSE_MS);
+                continue;
+            }
+            let last_ms = begun.insert(&row.report.upstream, row.at_ms);
+            crashes += usize::from(last_ms.is_none_or(|ms| ms + SAME_CRASH_MS < row.at_ms));
+        }
+        crashes * BEGUN_SCORE + waiting.len()
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.alibis.retain(|_, until_ms| *until_ms > now_ms);
+        self.reports
+            .retain(|row| row.at_ms + REPORT_EXPIRY_MS > now_ms);
+        // An accusation that is older than the reports is made again.
+        self.accused
+            .retain(|_, at_ms| *at_ms + REPORT_EXPIRY_MS > now_ms);
+    }
+}
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Creates a failure of reading an answer.
+    pub fn from_broken(upstream: UpstreamId, broken: BrokenAnswer) -> Self {
+        Self {
+            cause: broken.cause,
+            ..Self::may_have_run(upstream, broken.why)
+        }
+    }
+
     /// Sets how much of the answer had arrived.
     pub fn with_progress(mut self, progress: AnswerProgress) -> Self {
         self.progress = progress;
@@ -130,6 +138,42 @@
     }
 }
 
+/// Why an answer could not be read to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenAnswer {
+    /// Reason, for log lines.
+    pub why: String,
+    /// What it tells about the upstream.
+    pub cause: FailureCause,
+}
+
+impl BrokenAnswer {
+    /// Creates a reason that tells nothing about the upstream.
+    pub fn new(why: impl Into<String>) -> Self {
+        Self {
+            why: why.into(),
+            cause: FailureCause::Other,
+        }
+    }
+
+    /// Creates the reason for an answer whose connection the upstream ended.
+    pub fn lost(why: impl Into<String>) -> Self {
+        Self {
+            why: why.into(),
+            cause: FailureCause::ConnectionLost,
+        }
+    }
+}
+
+impl From<SendError> for BrokenAnswer {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Lost(_) => Self::lost(error.to_string()),
+            SendError::Unsent(_) | SendError::Broken(_) => Self::new(error.to_string()),
+        }
+    }
+}
+
 /// Joins the ids of a prompt's shared parts, for log lines.
 pub fn join_parts(parts: &[PromptPartId]) -> String {
     let ids: Vec<_> = parts.iter().map(PromptPartId::as_str).collect();
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -3,29 +3,34 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_kernel::attempt_plan::FailureProof;
+use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause, FailureProof};
 use amaranth_kernel::event_framing::EventFraming;
 use amaranth_kernel::item_order::WaitingItem;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{BlobRef, ItemRequest, PartialOutput, SubmittedItem};
-use amaranth_wire::id::{JobId, UpstreamGroupId};
+use amaranth_wire::id::{JobId, PromptPartId, RequestId, UpstreamGroupId};
 use amaranth_wire::placement_message::PlacementDemand;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use rand::RngExt;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::attempt::{AttemptEnd, AttemptLimits, ForwardRequest, attempt};
+use crate::attempt::{
+    AttemptEnd, AttemptLimits, BrokenAnswer, FailedAttempt, ForwardRequest, attempt, join_parts,
+};
 use crate::batch::blobs::BlobStore;
+use crate::batch::held_items::{HeldItem, HeldItems};
 use crate::batch::item_queue::ItemQueue;
 use crate::batch::job_reader::read_request;
 use crate::batch::progress::RunProgress;
 use crate::batch::replica::JobReplica;
+use crate::batch::retry_delay::RetryDelay;
 use crate::call::UpstreamCodec;
 use crate::connection_pool::OpenAnswer;
 use crate::placement_service::PlacementService;
+use crate::quarantine_service::{LostRequest, QuarantineService};
 use crate::route_state::RouteLookup;
 use crate::upstream_pool::{PoolStep, UpstreamPermit};
 
@@ -34,8 +39,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Attempts to read the output of an earlier run, before the item starts from the beginning.
 const MAX_OUTPUT_READS: u32 = 5;
-/// Mean delay before a retry; the delay is drawn from half to one and a half of it.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which a held item is checked.
+const HOLD_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
 /// Finds the route of an item in the current configuration.
 pub type RouteFinder = Arc<dyn Fn() -> RouteLookup + Send + Sync>;
@@ -55,6 +60,10 @@
     pub replica: Arc<JobReplica>,
     /// Decides which item requests a permit next.
     pub queue: ItemQueue,
+    /// Refuses items whose prompts crash upstreams.
+    pub quarantine: Arc<QuarantineService>,
+    /// Items that are held back as their prompts crash upstreams.
+    pub held_items: Arc<HeldItems>,
 }
 
 /// An item to be run on this instance.
@@ -90,6 +99,9 @@
     progress: Arc<RunProgress>,
     failures: u32,
     failed_reads: u32,
+    /// Shared parts of the item's prompt; empty before its request is read.
+    shared_parts: Vec<PromptPartId>,
+    held: Option<HeldItem>,
 }
 
 /// How an item's run ended.
@@ -102,15 +114,12 @@
     NotStarted,
 }
 
-async fn wait_before_retry() {
-    let factor = rand::rng().random_range(0.5..1.5);
-    sleep(RETRY_DELAY.mul_f64(factor)).await;
-}
-
 enum ItemStep {
     End(ItemRunEnd),
     Retry,
     RetryLater,
+    /// The item's prompt crashes upstreams.
+    Hold,
 }
 
 impl ItemRun {
@@ -131,6 +140,8 @@
             progress,
             failures: 0,
             failed_reads: 0,
+            shared_parts: Vec::new(),
+            held: None,
         }
     }
 
@@ -140,11 +151,34 @@
             match self.run_once().await {
                 ItemStep::End(end) => return end,
                 ItemStep::Retry => {}
-                ItemStep::RetryLater => wait_before_retry().await,
+                ItemStep::RetryLater => RetryDelay::default().wait().await,
+                ItemStep::Hold => self.hold().await,
             }
         }
     }
 
+    /// Waits while the item's prompt crashes upstreams. A quarantine may end before the job's
+    /// deadline.
+    async fn hold(&mut self) {
+        if self.held.is_none() {
+            self.held = Some(self.context.held_items.add());
+            let (job, item) = (&self.pending.job, &self.pending.item.id);
+            let parts = join_parts(&self.shared_parts);
+            log::info!("event=item_held job={job} item={item} parts={parts}");
+        }
+        sleep(HOLD_CHECK_PERIOD).await;
+        if !self.is_quarantined() {
+            self.held = None;
+        }
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.context
+            .quarantine
+            .refusal(&self.shared_parts)
+            .is_some()
+    }
+
     async fn run_once(&mut self) -> ItemStep {
         if !self.context.replica.is_fresh() {
             return ItemStep::RetryLater;
@@ -161,6 +195,9 @@
             self.log_errored("job deadline passed");
             return ItemStep::End(ItemRunEnd::Errored);
         }
+        if self.is_quarantined() {
+            return ItemStep::Hold;
+        }
         let Some(group) = route.pick_group(rand::rng().random()) else {
             return ItemStep::RetryLater;
         };
@@ -212,7 +249,7 @@
         {
             PoolStep::Send(permit) => Some(permit),
             PoolStep::Refuse { .. } | PoolStep::NoUpstream => {
-                wait_before_retry().await;
+                RetryDelay::default().wait().await;
                 None
             }
         }
@@ -270,6 +307,10 @@
             self.log_errored("invalid request id or header");
             return ItemStep::End(ItemRunEnd::Errored);
         };
+        self.shared_parts = request.shared_parts.clone();
+        if self.is_quarantined() {
+            return ItemStep::Hold;
+        }
         let limits = AttemptLimits {
             head_deadline: Instant::now() + IDLE_TIMEOUT,
             remaining: None,
@@ -291,7 +332,7 @@
             }
             AttemptEnd::Failed(failed) => {
                 self.log_failed_attempt(failed.upstream.as_str(), &failed.why);
-                ItemStep::Retry
+                self.handle_loss(&failed)
             }
         }
     }
@@ -330,15 +371,36 @@
                 answer.finish();
                 ItemStep::End(ItemRunEnd::Succeeded(self.progress.text()))
             }
-            Err(why) => {
+            Err(broken) => {
                 permit.record_failure();
-                self.log_failed_attempt(permit.upstream.as_str(), &why);
-                ItemStep::Retry
+                self.log_failed_attempt(permit.upstream.as_str(), &broken.why);
+                let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
+                self.handle_loss(&failed.with_progress(AnswerProgress::Head))
             }
         }
     }
 
-    async fn read_events(&mut self, answer: &mut OpenAnswer) -> Result<(), String> {
+    /// Records a failed attempt against the item's prompt, unless an upstream has answered the item
+    /// in part.
+    fn handle_loss(&self, failed: &FailedAttempt) -> ItemStep {
+        if failed.cause != FailureCause::ConnectionLost || self.progress.last_event().is_some() {
+            return ItemStep::Retry;
+        }
+        let id = self.pending.item.id.as_str().parse::<RequestId>();
+        let address = self.context.placement.pool.address(&failed.upstream);
+        if let (Ok(request), Some(address)) = (id, address) {
+            self.context.quarantine.record_loss(LostRequest {
+                request: &request,
+                parts: &self.shared_parts,
+                failed,
+                address,
+            });
+        }
+        ItemStep::Retry
+    }
+
+    async fn read_events(&mut self, answer: &mut OpenAnswer) -> Result<(), BrokenAnswer> {
+        let mut events = 0;
         let mut framing = EventFraming::new();
         // Bytes that complete no event don't prove progress.
         let mut idle_deadline = Instant::now() + IDLE_TIMEOUT;
@@ -346,23 +408,35 @@
             let chunk = match timeout_at(idle_deadline, answer.next_chunk()).await {
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) if framing.has_partial() => {
-                    return Err("stream ended within an event".to_owned());
+                    return Err(BrokenAnswer::lost("stream ended within an event"));
+                }
+                Ok(Ok(None)) => {
+                    self.context.quarantine.record_answer(&self.shared_parts);
+                    return Ok(());
+                }
+                Ok(Err(e)) => return Err(e.into()),
+                Err(_) => {
+                    let why = "idle timeout: no event from the upstream";
+                    return Err(BrokenAnswer::new(why));
                 }
-                Ok(Ok(None)) => return Ok(()),
-                Ok(Err(e)) => return Err(e.to_string()),
-                Err(_) => return Err("idle timeout: no event from the upstream".to_owned()),
             };
             framing
                 .push(&chunk)
-                .map_err(|_| "event exceeds the size limit".to_owned())?;
+                .map_err(|_| BrokenAnswer::new("event exceeds the size limit"))?;
             while let Some(event) = framing.next_event() {
                 idle_deadline = Instant::now() + IDLE_TIMEOUT;
                 let last_event = self.progress.last_event();
                 let expected = last_event.map_or(event.id, |last| Some(last + 1));
                 if event.id != expected {
-                    return Err(format!("event id {:?}, expected {expected:?}", event.id));
+                    let why = format!("event id {:?}, expected {expected:?}", event.id);
+                    return Err(BrokenAnswer::new(why));
                 }
                 self.progress.add(event.id, event.data());
+                events += 1;
+                // An upstream that crashes on a request does so as it begins the answer.
+                if events == 2 {
+                    self.context.quarantine.record_answer(&self.shared_parts);
+                }
             }
             self.progress.save_if_due();
         }
--- a/crates/serve/src/batch/mod.rs
+++ b/crates/serve/src/batch/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod blobs;
 pub mod commit;
+pub mod held_items;
 pub mod intake;
 pub mod item_queue;
 pub mod item_run;
@@ -10,5 +11,6 @@
 pub mod pieces;
 pub mod progress;
 pub mod replica;
+pub mod retry_delay;
 pub mod shards;
 pub mod worker;
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -122,7 +122,8 @@
         }
         let running = self.running.lock().expect("not poisoned");
         let count: usize = running.values().map(|job| job.items.len()).sum();
-        let capacity = MAX_RUNNING_ITEMS.saturating_sub(count);
+        let held = self.context.held_items.len();
+        let capacity = MAX_RUNNING_ITEMS.saturating_sub(count.saturating_sub(held));
         let now_ms = unix_ms();
         self.replica.with_table(|table| {
             let open = table
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -20,6 +20,7 @@
 use crate::call::UpstreamCodec;
 use crate::connection_pool::OpenAnswer;
 use crate::placement_service::PlacementService;
+use crate::quarantine_service::{LostRequest, QuarantineService};
 use crate::upstream_pool::{PoolStep, UpstreamPermit};
 
 /// Limit on an upstream's silence before another is tried, as a multiple of the objective: a queue
@@ -44,15 +45,22 @@
     pub placement: Arc<PlacementService>,
     /// Codec of the upstreams' protocol.
     pub codec: UpstreamCodec,
+    /// Refuses requests whose prompts crash upstreams.
+    pub quarantine: Arc<QuarantineService>,
     budget: Mutex<RetryBudget>,
 }
 
 impl ForwardContext {
     /// Creates a context with a new retry budget.
-    pub fn new(placement: Arc<PlacementService>, codec: UpstreamCodec) -> Self {
+    pub fn new(
+        placement: Arc<PlacementService>,
+        codec: UpstreamCodec,
+        quarantine: Arc<QuarantineService>,
+    ) -> Self {
         Self {
             placement,
             codec,
+            quarantine,
             budget: Mutex::new(RetryBudget::new()),
         }
     }
@@ -68,6 +76,8 @@
     deadline: Instant,
     count: AttemptCount,
     excluded: Vec<UpstreamId>,
+    /// Whether an upstream has answered it, at least in part.
+    answered: bool,
 }
 
 impl ForwardRun {
@@ -91,6 +101,7 @@
             deadline: started + Duration::from_millis(limit_ms),
             count: AttemptCount::default(),
             excluded: Vec::new(),
+            answered: false,
             route,
         }
     }
@@ -115,6 +126,27 @@
         self.count
     }
 
+    /// Records that an upstream goes on after it began to answer, or has answered completely.
+    pub fn record_answer(&mut self) {
+        if !self.answered {
+            self.answered = true;
+            let parts = &self.request.shared_parts;
+            self.context.quarantine.record_answer(parts);
+        }
+    }
+
+    fn record_loss(&self, failed: &FailedAttempt) {
+        let address = self.context.placement.pool.address(&failed.upstream);
+        if let Some(address) = address.filter(|_| !self.answered) {
+            self.context.quarantine.record_loss(LostRequest {
+                request: &self.request.id,
+                parts: &self.request.shared_parts,
+                failed,
+                address,
+            });
+        }
+    }
+
     /// Whether another attempt may follow one that may have run.
     fn is_repeatable(&self) -> bool {
         self.route.kind.is_repeatable()
@@ -164,6 +196,7 @@
 
     /// Records a failed attempt; an error if no other may follow.
     pub fn record_failure(&mut self, failed: FailedAttempt) -> Result<(), RequestFailure> {
+        self.record_loss(&failed);
         let FailedAttempt {
             upstream,
             proof,
@@ -201,6 +234,10 @@
     }
 
     async fn acquire_upstream(&self, resuming: bool) -> Result<UpstreamPermit, RequestFailure> {
+        if let Some(remaining) = self.context.quarantine.refusal(&self.request.shared_parts) {
+            let why = "its prompt crashes upstreams";
+            return Err(self.give_up(remaining.as_millis() as u64, why));
+        }
         let objective = Duration::from_millis(self.route.objective_ms);
         // A resumed or retried request may use all its remaining time: refusing it would waste the
         // work done.
@@ -221,12 +258,18 @@
             PoolStep::Refuse { retry_after_ms } => (retry_after_ms, "all upstreams are full"),
             PoolStep::NoUpstream => (NO_UPSTREAM_RETRY_MS, "no upstream is available"),
         };
+        Err(self.give_up(retry_after_ms, why))
+    }
+
+    /// Failure of a request that is not attempted any more.
+    fn give_up(&self, retry_after_ms: u64, why: &str) -> RequestFailure {
+        let why = why.to_owned();
         match self.count.may_have_run > 0 {
-            true => Err(RequestFailure::Failed(why.to_owned())),
-            false => Err(RequestFailure::Refused {
+            true => RequestFailure::Failed(why),
+            false => RequestFailure::Refused {
                 retry_after_ms,
-                why: why.to_owned(),
-            }),
+                why,
+            },
         }
     }
 
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -72,7 +72,9 @@
             && !self.forward.placement.pool.is_empty()
             && match self.routes.source() {
                 None => false,
-                Some(RouteSource::Log) => self.intake.replica.is_loaded(),
+                Some(RouteSource::Log) => {
+                    self.intake.replica.is_loaded() && self.forward.quarantine.is_loaded()
+                }
                 Some(RouteSource::Peer) => true,
             }
     }
@@ -101,7 +103,8 @@
     }
 
     async fn forward(&self, parts: Parts, body: Incoming, metadata: CallMetadata) -> Answer {
-        wait_first_state(self.started, &self.routes, &self.forward.placement.pool).await;
+        let (pool, quarantine) = (&self.forward.placement.pool, &self.forward.quarantine);
+        wait_first_state(self.started, &self.routes, pool, quarantine).await;
         let Some(table) = self.routes.current() else {
             log::info!(
                 "event=request_ended request={} outcome=refused why=no_configuration",
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod peer_state;
 pub mod placement_service;
 pub mod process;
+pub mod quarantine_service;
+pub mod quarantine_task;
 pub mod request_trace;
 pub mod route_state;
 pub mod socket;
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -46,6 +46,8 @@
     Progress,
     /// Bodies and outputs of items, read on demand.
     Blobs,
+    /// Rules against prompts that crash upstreams, written by few instances and read by all.
+    Quarantine,
 }
 
 impl fmt::Display for LogTopic {
@@ -56,6 +58,7 @@
             Self::Batch => "batch",
             Self::Progress => "progress",
             Self::Blobs => "blobs",
+            Self::Quarantine => "quarantine",
         })
     }
 }
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -101,6 +101,7 @@
                 Ok(Ok(body)) => {
                     let took = run.started().elapsed().as_secs_f64() * 1000.0;
                     permit.record_success(status.is_success().then_some(took));
+                    run.record_answer();
                     trace.end("served", "", run.count());
                     let body = Full::new(body).map_err(|e| match e {}).boxed_unsync();
                     return relay_answer(status, headers, body);
--- a/crates/serve/src/peer_state.rs
+++ b/crates/serve/src/peer_state.rs
@@ -61,6 +61,9 @@
     pub upstreams: Vec<CopiedEntry>,
     /// Names of the group's members, see [`MemberName`].
     pub members: Vec<String>,
+    /// Rules against prompts that crash upstreams. Peers of former versions send none.
+    #[serde(default)]
+    pub quarantine: Vec<CopiedEntry>,
 }
 
 #[derive(Debug)]
@@ -137,6 +140,9 @@
             configuration: to_copied_entries(topics.get(&LogTopic::Configuration)?),
             upstreams: to_copied_entries(upstreams),
             members: members.iter().map(MemberName::to_string).collect(),
+            quarantine: topics
+                .get(&LogTopic::Quarantine)
+                .map_or_else(Vec::new, to_copied_entries),
         })
     }
 
@@ -191,7 +197,7 @@
 
 /// Callbacks that apply a peer's state.
 pub struct PeerStateSink {
-    /// Applies entries of the configuration or upstreams topic.
+    /// Applies entries of a topic that peers serve.
     pub apply_entries: Box<dyn Fn(LogTopic, Vec<LogEntry>) + Send + Sync>,
     /// Applies the names of the group's members.
     pub apply_members: Box<dyn Fn(Vec<String>) + Send + Sync>,
@@ -226,6 +232,7 @@
         .checked_sub(Duration::from_millis(age_ms))
         .unwrap_or(now);
     let topics = [
+        (LogTopic::Quarantine, state.quarantine),
         (LogTopic::Configuration, state.configuration),
         (LogTopic::Upstreams, state.upstreams),
     ];
--- a/crates/serve/src/placement_service.rs
+++ b/crates/serve/src/placement_service.rs
@@ -17,12 +17,14 @@
 use amaranth_wire::placement_message::{
     InFlightCounts, PlacementDemand, PlacementMessage, PlacementReply, PlacementRequest,
 };
+use amaranth_wire::quarantine_message::QuarantineMessage;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::member_name::MemberName;
+use crate::quarantine_service;
 use crate::upstream_pool::{PoolStep, UpstreamPool};
 
 /// Limit on waiting for a reply: several round trips between data centres, and a small part of the
@@ -93,11 +95,20 @@
     silent_allocators: Mutex<HashMap<SocketAddr, Instant>>,
     number: AtomicU64,
     sequence: AtomicU64,
+    quarantine_inbox: mpsc::Sender<ReceivedNotice>,
 }
 
+/// A message about quarantined prompts, with its sender's address.
+pub type ReceivedNotice = (QuarantineMessage, SocketAddr);
+
 impl PlacementService {
-    /// Binds the UDP socket at the member's address; port 0 takes any free port.
-    pub async fn open(pool: Arc<UpstreamPool>, mut member: MemberName) -> Result<Self> {
+    /// Binds the UDP socket at the member's address; port 0 takes any free port. Messages about
+    /// quarantined prompts go to the inbox.
+    pub async fn open(
+        pool: Arc<UpstreamPool>,
+        mut member: MemberName,
+        quarantine_inbox: mpsc::Sender<ReceivedNotice>,
+    ) -> Result<Self> {
         let socket = UdpSocket::bind(member.address).await?;
         member.address = socket.local_addr()?;
         Ok(Self {
@@ -111,6 +122,7 @@
             silent_allocators: Mutex::default(),
             number: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
+            quarantine_inbox,
         })
     }
 
@@ -167,14 +179,17 @@
     /// Returns the allocators of a group in order of preference. Only the largest machines are
     /// eligible: the others have little processor time to spare.
     fn allocators(&self, group: &UpstreamGroupId) -> Vec<MemberName> {
+        self.preferred_members(group.as_str())
+    }
+
+    /// Returns the members that share a task of the whole fleet, in order of preference.
+    pub fn preferred_members(&self, task: &str) -> Vec<MemberName> {
         let members = self.members.read().expect("not poisoned");
         let largest = members.iter().map(|member| member.weight).max();
         let eligible = members
             .iter()
             .filter(|member| Some(member.weight) == largest);
-        let order = rendezvous_order(group.as_str().as_bytes(), eligible, |member| {
-            member.instance.as_str()
-        });
+        let order = rendezvous_order(task.as_bytes(), eligible, |member| member.instance.as_str());
         order.into_iter().take(ALLOCATORS).cloned().collect()
     }
 
@@ -318,7 +333,8 @@
         }
     }
 
-    async fn send(&self, message: &PlacementMessage, address: SocketAddr) {
+    /// Sends a datagram to another member.
+    pub async fn send(&self, message: &PlacementMessage, address: SocketAddr) {
         if let Err(e) = self.socket.send_to(&message.encode(), address).await {
             log::debug!(
                 "event=datagram_not_sent address={address} error={:?}",
@@ -386,6 +402,11 @@
                 }
             }
             PlacementMessage::Preempt { upstream } => self.pool.preempt(&upstream),
+            PlacementMessage::Quarantine(message) => {
+                if self.quarantine_inbox.try_send((message, from)).is_err() {
+                    quarantine_service::log_dropped(from);
+                }
+            }
         }
     }
 
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -9,6 +9,7 @@
 use amaranth_net::telemetry;
 use amaranth_wire::id::{DataCentreId, InstanceId};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -31,7 +32,9 @@
 use crate::log_access::{DurableLog, LogTopic, TopicPartition};
 use crate::member_name::MemberName;
 use crate::peer_state::{PEER_STATE_PATH, TopicCopies, copy_from_peers};
-use crate::placement_service::PlacementService;
+use crate::placement_service::{PlacementService, ReceivedNotice};
+use crate::quarantine_service::{self, QuarantineService};
+use crate::quarantine_task;
 use crate::route_state::RouteState;
 use crate::topic_apply;
 use crate::upstream_pool::UpstreamPool;
@@ -135,7 +138,9 @@
     let connections = TaskTracker::new();
     let background = TaskTracker::new();
     let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
-    let placement = Arc::new(PlacementService::open(pool, member_name(&config)).await?);
+    let (quarantine_sender, quarantine_inbox) = quarantine_service::inbox();
+    let placement = PlacementService::open(pool, member_name(&config), quarantine_sender);
+    let placement = Arc::new(placement.await?);
     let copies = Arc::new(TopicCopies::new());
     log::info!(
         "event=listening instance={} callers={} probes={} control={} peers={}",
@@ -145,15 +150,12 @@
         control.local_addr()?,
         placement.member().address
     );
-    let gateway = build_gateway(
-        &config,
+    let links = PeerLinks {
         placement,
-        copies.clone(),
-        Arc::new(log),
-        codecs,
-        &stops,
-        &background,
-    );
+        quarantine_inbox,
+        copies: copies.clone(),
+    };
+    let gateway = build_gateway(&config, links, Arc::new(log), codecs, &stops, &background);
 
     let answering = gateway.clone();
     let limits = gateway.clone();
@@ -242,16 +244,29 @@
     }
 }
 
-fn build_gateway(
-    config: &ServeConfig,
+/// What connects this instance with the others.
+struct PeerLinks {
     placement: Arc<PlacementService>,
+    /// Messages of other instances about quarantined prompts.
+    quarantine_inbox: mpsc::Receiver<ReceivedNotice>,
+    /// What peers can read of the log.
     copies: Arc<TopicCopies>,
+}
+
+fn build_gateway(
+    config: &ServeConfig,
+    links: PeerLinks,
     log: Arc<DurableLog>,
     codecs: ProtocolCodecs,
     stops: &StopTokens,
     background: &TaskTracker,
 ) -> Arc<Gateway> {
     let work = &stops.work;
+    let PeerLinks {
+        placement,
+        quarantine_inbox,
+        copies,
+    } = links;
     let routes = Arc::new(RouteState::new());
     let pool = placement.pool.clone();
     let replica = Arc::new(JobReplica::new());
@@ -264,13 +279,28 @@
     let partitions = log.blob_partitions;
     let blob_committer = member_committer(&log, LogTopic::Blobs, partitions, &shards, work);
     let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
+    let (quarantine, queues) = QuarantineService::new(quarantine_inbox);
+    let rule_committer = member_committer(&log, LogTopic::Quarantine, 1, &shards, work);
+    background.spawn(quarantine_task::run(
+        quarantine.clone(),
+        queues,
+        placement.clone(),
+        rule_committer,
+        work.clone(),
+    ));
     let followers = [
+        topic_apply::follow_quarantine(quarantine.clone(), copies.clone()),
         topic_apply::follow_configuration(routes.clone(), copies.clone(), codecs),
         topic_apply::follow_upstreams(pool.clone(), copies.clone(), codecs),
         topic_apply::follow_batch(replica.clone()),
         topic_apply::follow_progress(replica.clone(), shards.clone()),
     ];
-    let sink = topic_apply::peer_state_sink(routes.clone(), placement.clone(), codecs);
+    let sink = topic_apply::peer_state_sink(
+        routes.clone(),
+        placement.clone(),
+        quarantine.clone(),
+        codecs,
+    );
     let seeds = config.seeds.clone();
     background.spawn(copy_from_peers(seeds, copies, sink, work.clone()));
     for follower in followers {
@@ -285,6 +315,8 @@
         blobs: blobs.clone(),
         replica: replica.clone(),
         queue: ItemQueue::new(),
+        quarantine: quarantine.clone(),
+        held_items: Arc::default(),
     };
     let worker_config = WorkerConfig {
         route_finder_factory: route_finder_factory(routes.clone()),
@@ -304,7 +336,7 @@
         worker_config,
     );
     background.spawn(worker.run(stops.items.clone()));
-    let forward = Arc::new(ForwardContext::new(placement, codecs.upstream));
+    let forward = Arc::new(ForwardContext::new(placement, codecs.upstream, quarantine));
     let intake = JobIntake {
         replica: replica.clone(),
         log: log.clone(),
--- /dev/null
+++ b/crates/serve/src/quarantine_service.rs
@@ -0,0 +1,262 @@
+//! Refuses requests whose prompts crash upstreams. Instances report lost requests to two of them, which
+//! judge the reports; rules go to all instances at once, and onto the log, from which an instance that
+//! starts later or missed one reads them.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause};
+use amaranth_kernel::crash_evidence::CrashEvidence;
+use amaranth_kernel::hashing::hash_bytes;
+use amaranth_kernel::prompt_quarantine::PromptQuarantine;
+use amaranth_net::clock::{steady_ms, unix_ms};
+use amaranth_wire::id::{PromptPartId, RequestId};
+use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt::{FailedAttempt, join_parts};
+use crate::placement_service::ReceivedNotice;
+use crate::topic_follower::TopicUpdate;
+
+/// Most messages that wait to be handled.
+pub(crate) const MAX_QUEUED_MESSAGES: usize = 1_024;
+
+/// A request that was lost when its upstream ended the connection.
+#[derive(Debug, Clone, Copy)]
+pub struct LostRequest<'a> {
+    /// Id of the request.
+    pub request: &'a RequestId,
+    /// Shared parts of its prompt.
+    pub parts: &'a [PromptPartId],
+    /// The attempt that failed.
+    pub failed: &'a FailedAttempt,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+}
+
+/// Rules against prompts that crash upstreams, shared by all instances.
+pub struct QuarantineService {
+    quarantine: Mutex<PromptQuarantine>,
+    evidence: Mutex<CrashEvidence>,
+    outbox: mpsc::Sender<OutgoingNotice>,
+    /// Whether the rules on the log, or those of a peer, have been read.
+    loaded: AtomicBool,
+    first_loaded: CancellationToken,
+}
+
+/// What the service's task has to do for a request.
+pub(crate) enum OutgoingNotice {
+    /// Reports a lost request, if the upstream at the address has crashed.
+    Lost(LossReport, SocketAddr),
+    /// Says that upstreams have answered requests with these parts.
+    Survived(Vec<PromptPartId>),
+}
+
+/// Queues between requests, other instances and the service's task.
+pub struct QuarantineQueues {
+    pub(crate) outgoing: mpsc::Receiver<OutgoingNotice>,
+    pub(crate) inbox: mpsc::Receiver<ReceivedNotice>,
+}
+
+/// Creates the queue for messages of other instances.
+pub fn inbox() -> (mpsc::Sender<ReceivedNotice>, mpsc::Receiver<ReceivedNotice>) {
+    mpsc::channel(MAX_QUEUED_MESSAGES)
+}
+
+impl QuarantineService {
+    /// Creates a service without rules, and the queues that
+    /// [`run`](crate::quarantine_task::run) handles.
+    pub fn new(inbox: mpsc::Receiver<ReceivedNotice>) -> (Arc<Self>, QuarantineQueues) {
+        let (outbox, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        let service = Self {
+            quarantine: Mutex::default(),
+            evidence: Mutex::default(),
+            outbox,
+            loaded: AtomicBool::new(false),
+            first_loaded: CancellationToken::new(),
+        };
+        (Arc::new(service), QuarantineQueues { outgoing, inbox })
+    }
+
+    /// Whether the rules on the log, or those of a peer, have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the rules have been read.
+    pub async fn wait_loaded(&self) {
+        self.first_loaded.cancelled().await;
+    }
+
+    /// Returns how long requests with these parts are still refused; `None` if they are not.
+    pub fn refusal(&self, parts: &[PromptPartId]) -> Option<Duration> {
+        if parts.is_empty() {
+            return None;
+        }
+        let now_ms = unix_ms();
+        let until_ms = self.with_quarantine(|quarantine| {
+            let rule = quarantine.find_rule(parts, now_ms);
+            rule.map(|rule| rule.until_ms)
+        })?;
+        metrics::counter!("quarantined_requests_total").increment(1);
+        Some(Duration::from_millis(until_ms - now_ms))
+    }
+
+    /// Records that an upstream has answered a request with these parts.
+    pub fn record_answer(&self, parts: &[PromptPartId]) {
+        if parts.is_empty() {
+            return;
+        }
+        let now_ms = steady_ms();
+        let reported = self.with_quarantine(|quarantine| quarantine.record_answer(parts, now_ms));
+        if !reported.is_empty() {
+            self.queue(OutgoingNotice::Survived(reported));
+        }
+    }
+
+    /// Records a failed attempt. It counts against the parts of its prompt if the upstream ended the
+    /// connection before the first event.
+    pub fn record_loss(&self, lost: LostRequest<'_>) {
+        let failed = lost.failed;
+        let is_suspicious = failed.cause == FailureCause::ConnectionLost
+            && failed.progress != AnswerProgress::Events;
+        if !is_suspicious {
+            return;
+        }
+        let now_ms = steady_ms();
+        let parts = self.with_quarantine(|quarantine| quarantine.unanswered(lost.parts, now_ms));
+        if parts.is_empty() || self.is_refused(&parts) {
+            return;
+        }
+        let report = LossReport {
+            upstream: failed.upstream.clone(),
+            request: lost.request.clone(),
+            parts,
+            begun: failed.progress == AnswerProgress::Head,
+        };
+        self.queue(OutgoingNotice::Lost(report, lost.address));
+    }
+
+    pub(crate) fn with_quarantine<T>(&self, call: impl FnOnce(&mut PromptQuarantine) -> T) -> T {
+        call(&mut self.quarantine.lock().expect("not poisoned"))
+    }
+
+    pub(crate) fn with_evidence<T>(&self, call: impl FnOnce(&mut CrashEvidence) -> T) -> T {
+        call(&mut self.evidence.lock().expect("not poisoned"))
+    }
+
+    /// Whether a rule in force refuses requests with these parts, and so explains a crash.
+    pub(crate) fn is_refused(&self, parts: &[PromptPartId]) -> bool {
+        let now_ms = unix_ms();
+        self.with_quarantine(|quarantine| quarantine.find_rule(parts, now_ms).is_some())
+    }
+
+    fn queue(&self, notice: OutgoingNotice) {
+        if self.outbox.try_send(notice).is_err() {
+            log_dropped("self");
+        }
+    }
+
+    /// Applies rules that were read from the log or from a peer.
+    pub fn apply(&self, update: TopicUpdate) {
+        let (entries, replaces) = match update {
+            TopicUpdate::Replace(entries) => (entries, true),
+            TopicUpdate::Append(entries) => (entries, false),
+        };
+        let mut present = Vec::new();
+        for entry in entries {
+            let decoded = entry
+                .value
+                .as_ref()
+                .map(|value| QuarantineRule::decode(value));
+            match decoded {
+                None => self.remove_by_key(&entry.key),
+                Some(Ok(rule)) => {
+                    self.add_rule(rule.clone(), RuleSource::Log);
+                    present.push(rule);
+                }
+                Some(Err(e)) => log::warn!(
+                    "event=record_malformed topic=quarantine key={:?} offset={} error={:?}",
+                    entry.key,
+                    entry.offset,
+                    e.to_string()
+                ),
+            }
+        }
+        if replaces {
+            self.with_quarantine(|quarantine| quarantine.retain_rules(&present));
+        }
+        self.loaded.store(true, Ordering::Relaxed);
+        self.first_loaded.cancel();
+    }
+
+    fn remove_by_key(&self, key: &str) {
+        let parts = self.with_quarantine(|quarantine| {
+            let mut rules = quarantine.rules();
+            let rule = rules.find(|rule| rule_key(&rule.parts) == key);
+            rule.map(|rule| rule.parts.clone())
+        });
+        if let Some(parts) = parts {
+            self.remove_rule(&parts, RuleSource::Log);
+        }
+    }
+
+    pub(crate) fn add_rule(&self, rule: QuarantineRule, source: RuleSource) -> bool {
+        let remaining_ms = rule.until_ms.saturating_sub(unix_ms());
+        let parts = join_parts(&rule.parts);
+        let on_log = source == RuleSource::Log;
+        let is_new = self.with_quarantine(|quarantine| quarantine.add_rule(rule, on_log));
+        if is_new {
+            log::warn!(
+                "event=prompt_quarantined parts={parts} source={source} remaining_ms={remaining_ms}"
+            );
+        }
+        is_new
+    }
+
+    pub(crate) fn remove_rule(&self, parts: &[PromptPartId], source: RuleSource) -> bool {
+        let removed = self.with_quarantine(|quarantine| quarantine.remove_rule(parts));
+        if removed {
+            log::warn!(
+                "event=prompt_quarantine_ended parts={} source={source}",
+                join_parts(parts)
+            );
+        }
+        removed
+    }
+}
+
+/// Where a rule, or its end, comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RuleSource {
+    /// The log, or a peer's copy of it.
+    Log,
+    /// A datagram of another member.
+    Member,
+    /// The reports that this instance judges.
+    Own,
+}
+
+impl fmt::Display for RuleSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Log => "log",
+            Self::Member => "member",
+            Self::Own => "own",
+        })
+    }
+}
+
+/// Key of a rule on the log.
+pub(crate) fn rule_key(parts: &[PromptPartId]) -> String {
+    format!("{:016x}", hash_bytes(join_parts(parts).as_bytes(), 0))
+}
+
+/// Logs that a message was dropped because its queue is full.
+pub fn log_dropped(from: impl fmt::Display) {
+    log::warn!("event=quarantine_message_dropped from={from}");
+}
--- /dev/null
+++ b/crates/serve/src/quarantine_task.rs
@@ -0,0 +1,289 @@
+//! The task of the quarantine service: exchanges messages with the other instances, judges the reports,
+//! and keeps the rules on the log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_kernel::prompt_quarantine::RULE_LIFETIME_MS;
+use amaranth_net::clock::{steady_ms, unix_ms};
+use amaranth_wire::id::PromptPartId;
+use amaranth_wire::placement_message::PlacementMessage;
+use amaranth_wire::quarantine_message::{LossReport, QuarantineMessage, QuarantineRule};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{interval, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt::join_parts;
+use crate::batch::commit::BatchCommitter;
+use crate::log_access::NewEntry;
+use crate::member_name::MemberName;
+use crate::placement_service::PlacementService;
+use crate::quarantine_service::{
+    MAX_QUEUED_MESSAGES, OutgoingNotice, QuarantineQueues, QuarantineService, RuleSource,
+    log_dropped, rule_key,
+};
+
+/// Name under which the members that judge are chosen.
+const JUDGE_TASK: &str = "prompt-quarantine";
+/// Limit on connecting to an upstream to learn whether it has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Delay before a rule is appended to the log again.
+const APPEND_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Most appends of a rule that are tried. Instances that are running have it by then.
+const MAX_APPENDS: u32 = 100;
+/// Interval at which expired rules are removed.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(10);
+
+/// The service's task.
+struct QuarantineTask {
+    service: Arc<QuarantineService>,
+    /// Sends datagrams to the other members.
+    placement: Arc<PlacementService>,
+    /// Appends rules to the log.
+    committer: BatchCommitter,
+    /// Messages from this instance to itself.
+    loopback: mpsc::Sender<QuarantineMessage>,
+}
+
+/// Handles the queues until the token is cancelled.
+pub async fn run(
+    service: Arc<QuarantineService>,
+    queues: QuarantineQueues,
+    placement: Arc<PlacementService>,
+    committer: BatchCommitter,
+    stop: CancellationToken,
+) {
+    let (loopback, mut own) = mpsc::channel(MAX_QUEUED_MESSAGES);
+    let task = Arc::new(QuarantineTask {
+        service,
+        placement,
+        committer,
+        loopback,
+    });
+    let QuarantineQueues {
+        mut outgoing,
+        mut inbox,
+    } = queues;
+    let mut expiry = interval(EXPIRY_PERIOD);
+    let handle = async {
+        loop {
+            tokio::select! {
+                Some(notice) = outgoing.recv() => task.handle_notice(notice).await,
+                Some(message) = own.recv() => task.handle_message(message, None).await,
+                Some((message, from)) = inbox.recv() => {
+                    task.handle_message(message, Some(from)).await;
+                }
+                () = task.wait_judgement() => {}
+                _ = expiry.tick() => task.expire(),
+            }
+            task.judge().await;
+        }
+    };
+    stop.run_until_cancelled(handle).await;
+}
+
+impl QuarantineTask {
+    async fn handle_notice(self: &Arc<Self>, notice: OutgoingNotice) {
+        match notice {
+            OutgoingNotice::Survived(parts) => {
+                self.tell_judges(QuarantineMessage::Survived(parts)).await;
+            }
+            OutgoingNotice::Lost(report, address) => {
+                tokio::spawn(self.clone().check_loss(report, address));
+            }
+        }
+    }
+
+    /// Reports a lost request if its upstream has crashed.
+    async fn check_loss(self: Arc<Self>, report: LossReport, address: SocketAddr) {
+        let crashed = has_crashed(address).await;
+        log::info!(
+            "event=request_lost request={} upstream={} parts={} begun={} crashed={crashed}",
+            report.request,
+            report.upstream,
+            join_parts(&report.parts),
+            report.begun,
+        );
+        if crashed {
+            self.tell_judges(QuarantineMessage::Lost(report)).await;
+        }
+    }
+
+    /// Handles a message; `from` is `None` for this instance's own.
+    async fn handle_message(&self, message: QuarantineMessage, from: Option<SocketAddr>) {
+        match message {
+            QuarantineMessage::Lost(report) => self.record_report(report).await,
+            QuarantineMessage::Accused(parts) => self.answer_accusation(&parts, from).await,
+            QuarantineMessage::Survived(parts) => {
+                for part in parts {
+                    self.acquit(&part).await;
+                }
+            }
+            QuarantineMessage::InForce(rule) => {
+                let parts = rule.parts.clone();
+                if self.service.add_rule(rule, RuleSource::Member) {
+                    self.answer_accusation(&parts, from).await;
+                }
+            }
+            QuarantineMessage::Ended(parts) => {
+                self.service.remove_rule(&parts, RuleSource::Member);
+            }
+        }
+    }
+
+    async fn record_report(&self, report: LossReport) {
+        if self.service.is_refused(&report.parts) {
+            return;
+        }
+        let now_ms = steady_ms();
+        let accused = self
+            .service
+            .with_evidence(|evidence| evidence.record(report, now_ms));
+        if !accused.is_empty() {
+            log::info!("event=prompt_accused parts={}", join_parts(&accused));
+            self.tell_members(QuarantineMessage::Accused(accused)).await;
+        }
+    }
+
+    async fn answer_accusation(&self, parts: &[PromptPartId], from: Option<SocketAddr>) {
+        let now_ms = steady_ms();
+        let alibis = self
+            .service
+            .with_quarantine(|quarantine| quarantine.alibis(parts, now_ms));
+        if alibis.is_empty() {
+            return;
+        }
+        let survived = QuarantineMessage::Survived(alibis);
+        match from {
+            Some(from) => self.send(survived, from).await,
+            None => self.send_own(survived),
+        }
+    }
+
+    async fn acquit(&self, part: &PromptPartId) {
+        let now_ms = steady_ms();
+        self.service
+            .with_evidence(|evidence| evidence.acquit(part, now_ms));
+        let narrowed = self
+            .service
+            .with_quarantine(|quarantine| quarantine.narrow(part));
+        for (rule, successor) in narrowed {
+            if let Some(successor) = successor {
+                self.put_in_force(successor).await;
+            }
+            self.service.remove_rule(&rule.parts, RuleSource::Own);
+            self.store(&rule.parts, None);
+            self.tell_members(QuarantineMessage::Ended(rule.parts))
+                .await;
+        }
+    }
+
+    /// Convicts what the evidence allows by now.
+    async fn judge(&self) {
+        let now_ms = steady_ms();
+        let convicted = self
+            .service
+            .with_evidence(|evidence| evidence.convict(now_ms));
+        for parts in convicted {
+            let until_ms = unix_ms() + RULE_LIFETIME_MS;
+            self.put_in_force(QuarantineRule { parts, until_ms }).await;
+        }
+    }
+
+    async fn put_in_force(&self, rule: QuarantineRule) {
+        if self.service.add_rule(rule.clone(), RuleSource::Own) {
+            self.store(&rule.parts, Some(&rule));
+            self.tell_members(QuarantineMessage::InForce(rule)).await;
+        }
+    }
+
+    /// Writes a rule to the log or deletes it there, in the background.
+    fn store(&self, parts: &[PromptPartId], rule: Option<&QuarantineRule>) {
+        let committer = self.committer.clone();
+        let record = NewEntry {
+            key: rule_key(parts),
+            value: rule.map(|rule| rule.encode().into()),
+        };
+        tokio::spawn(async move {
+            for _ in 0..MAX_APPENDS {
+                match committer.append_records(vec![record.clone()], true).await {
+                    Ok(_) => return,
+                    Err(e) => log::warn!(
+                        "event=quarantine_rule_not_appended error={:?}",
+                        e.to_string()
+                    ),
+                }
+                sleep(APPEND_RETRY_DELAY).await;
+            }
+        });
+    }
+
+    /// Removes expired rules; the first judge also deletes them from the log.
+    fn expire(&self) {
+        let now_ms = unix_ms();
+        let expired = self
+            .service
+            .with_quarantine(|quarantine| quarantine.expire(now_ms));
+        let judges = self.placement.preferred_members(JUDGE_TASK);
+        let is_first = judges.first() == Some(self.placement.member());
+        for rule in expired {
+            log::info!(
+                "event=prompt_quarantine_expired parts={}",
+                join_parts(&rule.parts)
+            );
+            if is_first {
+                self.store(&rule.parts, None);
+            }
+        }
+    }
+
+    async fn wait_judgement(&self) {
+        let now_ms = steady_ms();
+        let due_ms = self
+            .service
+            .with_evidence(|evidence| evidence.next_judgement_ms(now_ms));
+        match due_ms {
+            Some(due_ms) => sleep(Duration::from_millis(due_ms - now_ms)).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn tell_judges(&self, message: QuarantineMessage) {
+        let judges = self.placement.preferred_members(JUDGE_TASK);
+        self.send_all(message, &judges).await;
+    }
+
+    async fn tell_members(&self, message: QuarantineMessage) {
+        let members = self.placement.members();
+        self.send_all(message, &members).await;
+    }
+
+    async fn send_all(&self, message: QuarantineMessage, members: &[MemberName]) {
+        for member in members {
+            match member == self.placement.member() {
+                true => self.send_own(message.clone()),
+                false => self.send(message.clone(), member.address).await,
+            }
+        }
+    }
+
+    fn send_own(&self, message: QuarantineMessage) {
+        if self.loopback.try_send(message).is_err() {
+            log_dropped("self");
+        }
+    }
+
+    async fn send(&self, message: QuarantineMessage, address: SocketAddr) {
+        let message = PlacementMessage::Quarantine(message);
+        self.placement.send(&message, address).await;
+    }
+}
+
+/// Whether an upstream refuses connections, as nothing listens after a crash. An upstream that only
+/// ended one connection accepts another.
+async fn has_crashed(address: SocketAddr) -> bool {
+    let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connect, Ok(Err(_)))
+}
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -1,14 +1,14 @@
 //! Relays an event stream in complete events, and resumes it at another upstream after a failure if
 //! the route allows it.
 
-use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause};
+use amaranth_kernel::attempt_plan::AnswerProgress;
 use amaranth_kernel::event_framing::EventFraming;
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{BrokenBody, RequestFailure};
-use crate::attempt::FailedAttempt;
-use crate::connection_pool::{OpenAnswer, SendError};
+use crate::attempt::{BrokenAnswer, FailedAttempt};
+use crate::connection_pool::OpenAnswer;
 use crate::forward_run::ForwardRun;
 use crate::request_trace::RequestTrace;
 use crate::upstream_pool::UpstreamPermit;
@@ -38,30 +38,7 @@
     /// The stream ended after a complete event.
     End,
     /// The stream failed, with the reason.
-    Broken(BrokenStream),
-}
-
-/// Why reading from a stream failed.
-struct BrokenStream {
-    why: String,
-    cause: FailureCause,
-}
-
-impl BrokenStream {
-    fn new(why: impl Into<String>) -> Self {
-        Self {
-            why: why.into(),
-            cause: FailureCause::Other,
-        }
-    }
-
-    /// The upstream ended the connection.
-    fn lost(why: impl Into<String>) -> Self {
-        Self {
-            why: why.into(),
-            cause: FailureCause::ConnectionLost,
-        }
-    }
+    Broken(BrokenAnswer),
 }
 
 /// Result of relaying events.
@@ -114,20 +91,19 @@
 
     async fn step(&mut self) -> RelayStep {
         let Some((answer, _)) = &mut self.source else {
-            return RelayStep::Broken(BrokenStream::new("no upstream to read from"));
+            return RelayStep::Broken(BrokenAnswer::new("no upstream to read from"));
         };
         match timeout_at(self.silence_deadline, answer.next_chunk()).await {
             Ok(Ok(Some(chunk))) => match self.framing.push(&chunk) {
                 Ok(()) => self.complete_events(),
-                Err(_) => RelayStep::Broken(BrokenStream::new("an event exceeds the size limit")),
+                Err(_) => RelayStep::Broken(BrokenAnswer::new("an event exceeds the size limit")),
             },
             Ok(Ok(None)) if self.framing.has_partial() => {
-                RelayStep::Broken(BrokenStream::lost("the stream ended within an event"))
+                RelayStep::Broken(BrokenAnswer::lost("the stream ended within an event"))
             }
             Ok(Ok(None)) => RelayStep::End,
-            Ok(Err(e @ SendError::Lost(_))) => RelayStep::Broken(BrokenStream::lost(e.to_string())),
-            Ok(Err(e)) => RelayStep::Broken(BrokenStream::new(e.to_string())),
-            Err(_) => RelayStep::Broken(BrokenStream::new("no event before the silence deadline")),
+            Ok(Err(e)) => RelayStep::Broken(e.into()),
+            Err(_) => RelayStep::Broken(BrokenAnswer::new("no event before the silence deadline")),
         }
     }
 
@@ -143,7 +119,7 @@
                 }
                 if self.resumed && id > last + 1 {
                     let why = format!("event {id} follows {last}");
-                    return RelayStep::Broken(BrokenStream::new(why));
+                    return RelayStep::Broken(BrokenAnswer::new(why));
                 }
             }
             self.last_event = event.id.or(self.last_event);
@@ -152,6 +128,10 @@
         if events.is_empty() {
             return RelayStep::More;
         }
+        // An upstream that crashes on a request does so as it begins the answer.
+        if self.has_events {
+            self.run.record_answer();
+        }
         self.has_events = true;
         self.trace.first_event();
         RelayStep::Events(events.freeze())
@@ -161,24 +141,23 @@
         if let Some((answer, permit)) = self.source.take() {
             let took = self.request_started.elapsed().as_secs_f64() * 1000.0;
             permit.record_success((!self.resumed).then_some(took));
+            self.run.record_answer();
             answer.finish();
         }
         self.trace.end("served", "", self.run.count());
     }
 
-    async fn resume(&mut self, broken: BrokenStream) -> std::result::Result<(), RequestFailure> {
+    async fn resume(&mut self, broken: BrokenAnswer) -> std::result::Result<(), RequestFailure> {
         let (answer, permit) = self.source.take().ok_or(RequestFailure::Late)?;
         // Closes the connection, which cancels the request at the upstream.
         drop(answer);
         permit.record_failure();
-        let failed = FailedAttempt {
-            cause: broken.cause,
-            progress: match self.has_events {
-                true => AnswerProgress::Events,
-                false => AnswerProgress::Head,
-            },
-            ..FailedAttempt::may_have_run(permit.upstream.clone(), broken.why)
+        let progress = match self.has_events {
+            true => AnswerProgress::Events,
+            false => AnswerProgress::Head,
         };
+        let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
+        let failed = failed.with_progress(progress);
         drop(permit);
         self.framing = EventFraming::new();
         loop {
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -12,10 +12,17 @@
 use crate::member_name::MemberName;
 use crate::peer_state::{PeerStateSink, TopicCopies};
 use crate::placement_service::PlacementService;
+use crate::quarantine_service::QuarantineService;
 use crate::route_state::{RouteSource, RouteState};
 use crate::topic_follower::{TopicFollower, TopicUpdate};
 use crate::upstream_pool::UpstreamPool;
 
+/// Longest wait for entries in one read of most topics: configuration must be in force within 2 s
+/// of its acknowledgement, also if a connection is dead.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for rules against prompts in one read. The members tell each other of new ones, and
+/// every read costs a call.
+const RULE_READ_WAIT: Duration = Duration::from_secs(5);
 /// Least time between two reads of upstreams' announcements. A leaving upstream must get no work
 /// after 2 s, and every read costs a call.
 const UPSTREAM_READ_PERIOD: Duration = Duration::from_millis(400);
@@ -36,6 +43,7 @@
     };
     TopicFollower {
         topic: LogTopic::Configuration,
+        read_wait: READ_WAIT,
         min_period: Duration::ZERO,
         is_wanted: Box::new(|| true),
         apply: Box::new(apply),
@@ -86,6 +94,7 @@
     };
     TopicFollower {
         topic: LogTopic::Upstreams,
+        read_wait: READ_WAIT,
         min_period: UPSTREAM_READ_PERIOD,
         is_wanted: Box::new(|| true),
         apply: Box::new(apply),
@@ -130,6 +139,7 @@
 pub fn follow_batch(replica: Arc<JobReplica>) -> TopicFollower {
     TopicFollower {
         topic: LogTopic::Batch,
+        read_wait: READ_WAIT,
         min_period: BATCH_READ_PERIOD,
         is_wanted: Box::new(|| true),
         apply: Box::new(move |update, sent| replica.apply(update, None, sent)),
@@ -141,6 +151,7 @@
     let followed = replica.clone();
     TopicFollower {
         topic: LogTopic::Progress,
+        read_wait: READ_WAIT,
         min_period: BATCH_READ_PERIOD,
         is_wanted: Box::new(move || {
             let has_shards = shards.has_shards();
@@ -153,10 +164,28 @@
     }
 }
 
+/// Follows the rules against prompts that crash upstreams.
+pub fn follow_quarantine(
+    quarantine: Arc<QuarantineService>,
+    copies: Arc<TopicCopies>,
+) -> TopicFollower {
+    TopicFollower {
+        topic: LogTopic::Quarantine,
+        read_wait: RULE_READ_WAIT,
+        min_period: Duration::ZERO,
+        is_wanted: Box::new(|| true),
+        apply: Box::new(move |update, sent| {
+            copies.record(LogTopic::Quarantine, &update, sent);
+            quarantine.apply(update);
+        }),
+    }
+}
+
 /// Creates the callbacks that apply a peer's state to this instance.
 pub fn peer_state_sink(
     routes: Arc<RouteState>,
     placement: Arc<PlacementService>,
+    quarantine: Arc<QuarantineService>,
     codecs: ProtocolCodecs,
 ) -> PeerStateSink {
     let members = placement.clone();
@@ -170,6 +199,7 @@
                     apply_notice(&placement.pool, codecs, entry);
                 }
             }
+            LogTopic::Quarantine => quarantine.apply(TopicUpdate::Append(entries)),
             LogTopic::Batch | LogTopic::Progress | LogTopic::Blobs => {}
         }),
         apply_members: Box::new(move |names| set_members(&members, names)),
--- a/crates/serve/src/topic_follower.rs
+++ b/crates/serve/src/topic_follower.rs
@@ -9,9 +9,6 @@
 
 use crate::log_access::{DurableLog, LogEntry, LogError, LogRead, LogTopic};
 
-/// Longest wait for entries in one read. It is short because a dead connection is detected only
-/// when a read is overdue, and configuration must be in force within 2 s of its acknowledgement.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay after the first failed read; it doubles with each failure, up to eight times the value.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which a topic that is not wanted is checked again.
@@ -32,6 +29,9 @@
 pub struct TopicFollower {
     /// Topic to follow.
     pub topic: LogTopic,
+    /// Longest wait for entries in one read. A dead connection is detected only when a read is
+    /// overdue.
+    pub read_wait: Duration,
     /// Least time between two reads: entries that arrive within it are read together.
     pub min_period: Duration,
     /// Whether the topic is followed now; asked before each read. A topic that is wanted again is
@@ -112,7 +112,7 @@
         from: LogOffset,
     ) -> crate::log_access::Result<LogOffset> {
         let sent = Instant::now();
-        let slice = (log.read)(LogRead::new(self.topic, from).with_wait(READ_WAIT)).await?;
+        let slice = (log.read)(LogRead::new(self.topic, from).with_wait(self.read_wait)).await?;
         let has_entries = !slice.entries.is_empty();
         (self.apply)(TopicUpdate::Append(slice.entries), sent);
         if has_entries {
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -1,6 +1,7 @@
 //! The known upstreams, the load that this instance estimates for each, and connections to them.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
@@ -165,6 +166,12 @@
         excluded.iter().cloned().chain(out).collect()
     }
 
+    /// Returns the address of an upstream; `None` if it is unknown.
+    pub fn address(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
+        let registry = self.registry.read().expect("not poisoned");
+        registry.get(upstream).map(|notice| notice.address)
+    }
+
     /// Counts a request as in flight at an upstream; `None` if the upstream is unknown or leaving.
     pub fn issue_permit(
         self: &Arc<Self>,
--- a/crates/serve/tests/start_wait.rs
+++ b/crates/serve/tests/start_wait.rs
@@ -4,8 +4,10 @@
 
 use amaranth_kernel::route_table::{CallerLimits, RouteTable};
 use amaranth_kernel::upstream_registry::UpstreamNotice;
+use amaranth_serve::quarantine_service::{self, QuarantineService};
 use amaranth_serve::route_state::{RouteSource, RouteState};
 use amaranth_serve::start_wait::{START_WAIT_LIMIT, wait_first_state};
+use amaranth_serve::topic_follower::TopicUpdate;
 use amaranth_serve::upstream_pool::UpstreamPool;
 use amaranth_wire::id::ConfigRevision;
 use tokio::time::{Instant, sleep};
@@ -32,23 +34,27 @@
     }
 }
 
-/// Each case: arrival of the configuration, of the first upstream and of a call, and the time at
-/// which the call proceeds, in milliseconds after the start.
+/// Each case: arrival of the configuration, of the first upstream, of the rules against prompts and of
+/// a call, and the time at which the call proceeds, in milliseconds after the start.
 #[tokio::test(start_paused = true)]
-async fn calls_wait_for_routes_and_an_upstream_until_the_start_limit() {
+async fn calls_wait_for_the_first_state_until_the_start_limit() {
     let limit = START_WAIT_LIMIT.as_millis() as u64;
     let cases = [
-        (Some(30), Some(50), 10, 50),
-        (Some(50), Some(30), 10, 50),
-        (Some(30), Some(50), 80, 80),
-        (Some(30), None, 10, limit),
-        (None, Some(30), 10, limit),
-        (None, None, limit + 5, limit + 5),
+        (Some(30), Some(50), Some(40), 10, 50),
+        (Some(50), Some(30), Some(40), 10, 50),
+        (Some(30), Some(40), Some(50), 10, 50),
+        (Some(30), Some(50), Some(40), 80, 80),
+        (Some(30), None, Some(40), 10, limit),
+        (None, Some(30), Some(40), 10, limit),
+        (Some(30), Some(40), None, 10, limit),
+        (None, None, None, limit + 5, limit + 5),
     ];
-    for (configured, announced, called, proceeds_at) in cases {
+    for (configured, announced, rules, called, proceeds_at) in cases {
         let routes = RouteState::new();
         let pool = UpstreamPool::new("dc".parse().unwrap());
         let started = Instant::now();
+        let (_, inbox) = quarantine_service::inbox();
+        let (quarantine, _queues) = QuarantineService::new(inbox);
         let at = |ms: Option<u64>| sleep(Duration::from_millis(ms.unwrap_or(10_000)));
         let configure = async {
             at(configured).await;
@@ -58,15 +64,19 @@
             at(announced).await;
             pool.announce("u".parse().unwrap(), notice());
         };
+        let load_rules = async {
+            at(rules).await;
+            quarantine.apply(TopicUpdate::Replace(Vec::new()));
+        };
         let call = async {
             at(Some(called)).await;
-            wait_first_state(started, &routes, &pool).await;
+            wait_first_state(started, &routes, &pool, &quarantine).await;
             started.elapsed().as_millis() as u64
         };
-        let (proceeded_at, (), ()) = tokio::join!(call, configure, announce);
+        let (proceeded_at, (), (), ()) = tokio::join!(call, configure, announce, load_rules);
         assert_eq!(
             proceeded_at, proceeds_at,
-            "{configured:?} {announced:?} {called}"
+            "{configured:?} {announced:?} {rules:?} {called}"
         );
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod placement_message;
 pub mod platform;
+pub mod quarantine_message;
 pub mod record;
 pub mod role;
 pub mod service_level;
--- a/crates/wire/src/placement_message.rs
+++ b/crates/wire/src/placement_message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{UpstreamGroupId, UpstreamId};
+use crate::quarantine_message::QuarantineMessage;
 
 /// Requests that one instance has in flight at one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,6 +117,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// About prompts that crash upstreams.
+    Quarantine(QuarantineMessage),
 }
 
 /// Result of decoding a datagram.
--- /dev/null
+++ b/crates/wire/src/quarantine_message.rs
@@ -0,0 +1,66 @@
+//! Messages between instances about parts of prompts that crash upstreams, and the rules that they
+//! agree on.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{PromptPartId, RequestId, UpstreamId};
+
+/// A request whose upstream crashed before an event of its answer arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// Upstream that crashed.
+    pub upstream: UpstreamId,
+    /// Id of the request.
+    pub request: RequestId,
+    /// Shared parts of its prompt that the reporter has not seen answered of late.
+    pub parts: Vec<PromptPartId>,
+    /// Whether the head of the answer had arrived. Otherwise the request may have been waiting while
+    /// another one crashed the upstream.
+    pub begun: bool,
+}
+
+/// Refuses requests whose prompts have all of some parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRule {
+    /// The parts, sorted. They are several while no request shows which of them is to blame.
+    pub parts: Vec<PromptPartId>,
+    /// When the rule expires, in milliseconds of Unix time.
+    pub until_ms: u64,
+}
+
+impl QuarantineRule {
+    /// Whether the rule refuses requests whose prompts have these parts.
+    pub fn matches(&self, parts: &[PromptPartId]) -> bool {
+        self.parts.iter().all(|part| parts.contains(part))
+    }
+}
+
+/// Result of decoding a rule.
+pub type Result<T> = std::result::Result<T, rmp_serde::decode::Error>;
+
+impl QuarantineRule {
+    /// Decodes a rule from MessagePack.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        rmp_serde::from_slice(bytes)
+    }
+
+    /// Encodes the rule in MessagePack, with names.
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec_named(self).expect("rules hold no maps or unknown lengths")
+    }
+}
+
+/// Content of a datagram about quarantined prompts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuarantineMessage {
+    /// Reports a lost request to the instances that judge.
+    Lost(LossReport),
+    /// Asks which of these parts upstreams have answered.
+    Accused(Vec<PromptPartId>),
+    /// Says that upstreams have answered requests with these parts.
+    Survived(Vec<PromptPartId>),
+    /// Puts a rule in force.
+    InForce(QuarantineRule),
+    /// Ends the rule with these parts.
+    Ended(Vec<PromptPartId>),
+}
