Back off items that are lost before their first event, and judge them alone

Requests of callers end after few attempts; items had no bound.

Cause: a lost attempt of an item was repeated without a delay, and a conviction needed two requests. The delay now doubles up to 3.2 s, and three crashes as the answer to the same request began are enough.

--- a/crates/kernel/src/crash_evidence.rs
+++ b/crates/kernel/src/crash_evidence.rs
@@ -13,8 +13,12 @@
 use amaranth_wire::id::{PromptPartId, UpstreamId};
 use amaranth_wire::quarantine_message::LossReport;
 
-/// Score from which a part is convicted: two crashes as answers began, or more of other crashes.
+/// Score from which a part of several requests is convicted: two crashes as answers began, or more of
+/// other crashes.
 const CONVICTION_SCORE: usize = 4;
+/// Score from which a part of a single request is convicted, which is tried at one upstream after the
+/// other.
+const SINGLE_REQUEST_SCORE: usize = 6;
 /// Score of a crash as the answer to a request began, which no waiting request explains.
 const BEGUN_SCORE: usize = 2;
 /// Time in which instances can answer an accusation, in milliseconds: several round trips between
@@ -71,8 +75,10 @@
         if self.reports.len() > MAX_REPORTS {
             self.reports.pop_front();
         }
-        let is_new =
-            |part: &PromptPartId| !self.accused.contains_key(part) && self.request_count(part) > 1;
+        let is_new = |part: &PromptPartId| {
+            !self.accused.contains_key(part)
+                && (self.request_count(part) > 1 || self.score(part) >= CONVICTION_SCORE)
+        };
         let accused: Vec<_> = parts.into_iter().filter(is_new).collect();
         let rows = accused.iter().map(|part| (part.clone(), now_ms));
         self.accused.extend(rows);
@@ -117,8 +123,10 @@
         let due = self.accused.iter();
         let due = due.filter(|(_, at_ms)| **at_ms + ALIBI_WAIT_MS <= now_ms);
         let scored = due.map(|(part, _)| (self.score(part), part));
-        let guilty = scored
-            .filter(|(score, part)| *score >= CONVICTION_SCORE && self.request_count(part) > 1);
+        let guilty = scored.filter(|(score, part)| {
+            *score >= SINGLE_REQUEST_SCORE
+                || *score >= CONVICTION_SCORE && self.request_count(part) > 1
+        });
         guilty.max().map(|(_, part)| part.clone())
     }
 
--- a/crates/kernel/tests/crash_evidence.rs
+++ b/crates/kernel/tests/crash_evidence.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn a_part_is_convicted_by_crashes_that_have_nothing_else_in_common() {
-    let cases: [(&str, &[ReportCase], &[&str]); 9] = [
+    let cases: [(&str, &[ReportCase], &[&str]); 10] = [
         (
             "two requests, two upstreams",
             &[(0, "u1", "r1", true, "d"), (90, "u2", "r2", true, "d")],
@@ -42,6 +42,15 @@
             &[(0, "u1", "r1", true, "d"), (90, "u2", "r1", true, "d")],
             &[],
         ),
+        (
+            "one request that is tried again and again",
+            &[
+                (0, "u1", "r1", true, "a d"),
+                (90, "u2", "r1", true, "a d"),
+                (180, "u3", "r1", true, "a d"),
+            ],
+            &["a d"],
+        ),
         (
             "one crash",
             &[(0, "u1", "r1", true, "d"), (1, "u1", "r2", true, "d")],
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -99,6 +99,8 @@
     progress: Arc<RunProgress>,
     failures: u32,
     failed_reads: u32,
+    /// Delay after an attempt that is lost before the first event.
+    loss_delay: RetryDelay,
     /// Shared parts of the item's prompt; empty before its request is read.
     shared_parts: Vec<PromptPartId>,
     held: Option<HeldItem>,
@@ -118,6 +120,8 @@
     End(ItemRunEnd),
     Retry,
     RetryLater,
+    /// An upstream ended the connection before the first event.
+    RetryAfterLoss,
     /// The item's prompt crashes upstreams.
     Hold,
 }
@@ -140,6 +144,7 @@
             progress,
             failures: 0,
             failed_reads: 0,
+            loss_delay: RetryDelay::default(),
             shared_parts: Vec::new(),
             held: None,
         }
@@ -152,6 +157,10 @@
                 ItemStep::End(end) => return end,
                 ItemStep::Retry => {}
                 ItemStep::RetryLater => RetryDelay::default().wait().await,
+                ItemStep::RetryAfterLoss => {
+                    self.loss_delay.wait().await;
+                    self.loss_delay.double();
+                }
                 ItemStep::Hold => self.hold().await,
             }
         }
@@ -396,7 +405,7 @@
                 address,
             });
         }
-        ItemStep::Retry
+        ItemStep::RetryAfterLoss
     }
 
     async fn read_events(&mut self, answer: &mut OpenAnswer) -> Result<(), BrokenAnswer> {
--- a/crates/serve/src/batch/retry_delay.rs
+++ b/crates/serve/src/batch/retry_delay.rs
@@ -7,6 +7,8 @@
 
 /// Mean delay before a retry.
 const MEAN_DELAY: Duration = Duration::from_millis(100);
+/// Longest mean delay: an item that crashes upstreams costs one with each attempt.
+const MAX_MEAN_DELAY: Duration = Duration::from_millis(3_200);
 
 /// A random delay, from half to one and a half of its mean.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +23,11 @@
 }
 
 impl RetryDelay {
+    /// Doubles the mean up to its limit.
+    pub fn double(&mut self) {
+        self.mean = (self.mean * 2).min(MAX_MEAN_DELAY);
+    }
+
     /// Waits for a random time.
     pub async fn wait(self) {
         let factor = rand::rng().random_range(0.5..1.5);
