Refuse nothing for a rule without parts, and bound reports to a datagram

A rule without parts would have refused every request with a prompt; the new case of the kernel's test failed before.

--- a/crates/kernel/tests/prompt_quarantine.rs
+++ b/crates/kernel/tests/prompt_quarantine.rs
@@ -26,6 +26,7 @@
         ("a d", "d", 999, false),
         ("d", "", 999, false),
         ("d", "d", 1_000, false),
+        ("", "d", 999, false),
     ];
     for (blamed, prompt, at_ms, refused) in cases {
         let mut quarantine = PromptQuarantine::new();
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -22,6 +22,8 @@
 use crate::placement_service::ReceivedNotice;
 use crate::topic_follower::TopicUpdate;
 
+/// Most parts in a report, which has to fit into a datagram.
+const MAX_REPORTED_PARTS: usize = 64;
 /// Most messages that wait to be handled.
 pub(crate) const MAX_QUEUED_MESSAGES: usize = 1_024;
 
@@ -135,7 +137,7 @@
         let report = LossReport {
             upstream: failed.upstream.clone(),
             request: lost.request.clone(),
-            parts,
+            parts: parts.into_iter().take(MAX_REPORTED_PARTS).collect(),
             begun: failed.progress == AnswerProgress::Head,
         };
         self.queue(OutgoingNotice::Lost(report, lost.address));
--- a/crates/wire/src/quarantine_message.rs
+++ b/crates/wire/src/quarantine_message.rs
@@ -29,9 +29,10 @@
 }
 
 impl QuarantineRule {
-    /// Whether the rule refuses requests whose prompts have these parts.
+    /// Whether the rule refuses requests whose prompts have these parts. A rule without parts refuses
+    /// none.
     pub fn matches(&self, parts: &[PromptPartId]) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
+        !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
     }
 }
 
