Take a stream without length that ends before an event for broken off

An upstream that crashes as it begins an answer without length or chunks closes the connection after the head. That looked like a complete, empty stream: its relay then read on after the end, and the caller's connection was cut; an item would have got an empty result. It is now a lost attempt, and an empty stream with chunks ends at once.

--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -419,6 +419,9 @@
                 Ok(Ok(None)) if framing.has_partial() => {
                     return Err(BrokenAnswer::lost("stream ended within an event"));
                 }
+                Ok(Ok(None)) if !answer.is_framed() && self.progress.last_event().is_none() => {
+                    return Err(BrokenAnswer::lost("connection ended before an event"));
+                }
                 Ok(Ok(None)) => {
                     self.context.quarantine.record_answer(&self.shared_parts);
                     return Ok(());
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -268,6 +269,13 @@
         self.response.headers()
     }
 
+    /// Whether the body has a length or chunks. Otherwise it ends with its connection, whether it is
+    /// complete or not.
+    pub fn is_framed(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -145,7 +145,7 @@
     let first = match relay.next_events().await {
         Some(Ok(events)) => events,
         Some(Err(e)) => return RequestFailure::Failed(e.to_string()).answer(),
-        None => Bytes::new(),
+        None => return relay_answer(status, headers, empty_body()),
     };
     let head = stream::once(async move { Ok(Frame::data(first)) });
     let rest = stream::unfold(relay, |mut relay| async move {
@@ -157,6 +157,12 @@
     relay_answer(status, headers, body)
 }
 
+fn empty_body() -> AnswerBody {
+    Full::new(Bytes::new())
+        .map_err(|e| match e {})
+        .boxed_unsync()
+}
+
 /// Returns the headers of an upstream's answer that are relayed to the caller. The length is set
 /// from the body.
 fn relayed_headers(headers: &HeaderMap) -> HeaderMap {
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -101,6 +101,9 @@
             Ok(Ok(None)) if self.framing.has_partial() => {
                 RelayStep::Broken(BrokenAnswer::lost("the stream ended within an event"))
             }
+            Ok(Ok(None)) if !answer.is_framed() && self.last_event.is_none() => {
+                RelayStep::Broken(BrokenAnswer::lost("the connection ended before an event"))
+            }
             Ok(Ok(None)) => RelayStep::End,
             Ok(Err(e)) => RelayStep::Broken(e.into()),
             Err(_) => RelayStep::Broken(BrokenAnswer::new("no event before the silence deadline")),
