Let engines refuse the items of a shard's former owner

An owner that is paused after it has checked its lease sent its items when it woke, after another owner had run them: engines ran them once more. The check of the lease can't be any nearer to the write than the process that may be paused in between, so engines check it, as they do for orders: an item carries its shard and the epoch of the lease, and one of an older epoch is refused without running.

--- a/crates/entry/src/item_call.rs
+++ b/crates/entry/src/item_call.rs
@@ -7,7 +7,7 @@
 use amaranth_net::answer::JSON;
 use amaranth_net::client::{CallLimits, HttpCall, HttpClient, HttpError};
 use amaranth_net::telemetry::quote;
-use amaranth_wire::engine::{STREAM_ID_HEADER, STREAMS_PATH};
+use amaranth_wire::engine::{SHARD_FENCE_HEADER, STREAM_ID_HEADER, STREAMS_PATH, ShardFence};
 use amaranth_wire::id::{TierId, UpstreamId};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue};
@@ -63,12 +63,22 @@
     }
 }
 
+/// An item as it is sent to upstreams.
+#[derive(Debug, Clone, Copy)]
+pub struct ItemMessage<'a> {
+    /// Request body.
+    pub body: &'a [u8],
+    /// Lease under which it is sent. The owner may be paused after it checked the lease, so engines
+    /// check it, too.
+    pub fence: ShardFence,
+}
+
 /// Waits for a batch slot of the tier, then runs the item there if `may_start` still allows it.
 /// Adds an upstream that fails to `avoid`.
 pub async fn call(
     context: &InstanceContext,
     tier: &TierId,
-    body: &[u8],
+    message: ItemMessage<'_>,
     avoid: &mut Vec<UpstreamId>,
     may_start: impl Fn() -> bool,
 ) -> CallOutcome {
@@ -93,8 +103,8 @@
     };
     let _mark = BatchItemGuard::new(state.clone());
     let call = HttpCall::post(state.address, "/v1/chat/completions")
-        .with_headers(headers(&stream.name))
-        .with_body(body.to_vec());
+        .with_headers(headers(&stream.name, message.fence))
+        .with_body(message.body.to_vec());
     let answer = tokio::select! {
         answer = state.client.fetch(call, CallLimits::new(ITEM_LIMIT)) => answer,
         () = lease.preempt.cancelled() => {
@@ -130,10 +140,13 @@
     format!("batch-{}-{count}", context.config.writer)
 }
 
-fn headers(stream: &str) -> HeaderMap {
+fn headers(stream: &str, fence: ShardFence) -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(JSON));
     let stream = HeaderValue::from_str(stream).expect("stream names are valid header values");
     headers.insert(STREAM_ID_HEADER, stream);
+    let fence = HeaderValue::from_str(&fence.to_string());
+    let fence = fence.expect("digits and a colon are a valid header value");
+    headers.insert(SHARD_FENCE_HEADER, fence);
     headers
 }
--- a/crates/entry/src/item_run.rs
+++ b/crates/entry/src/item_run.rs
@@ -4,6 +4,7 @@
 
 use amaranth_net::answer::error_json;
 use amaranth_net::telemetry::quote;
+use amaranth_wire::engine::ShardFence;
 use amaranth_wire::error::{CallError, ErrorKind};
 use amaranth_wire::id::{LeaseEpoch, ShardId, TierId};
 use amaranth_wire::message::JobPhase;
@@ -12,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::{InstanceContext, Result};
-use crate::item_call::{self, CallOutcome};
+use crate::item_call::{self, CallOutcome, ItemMessage};
 use crate::item_reader::ItemPiece;
 use crate::lease_keeper::LeaseKeeper;
 use crate::running_items::{ItemKey, RunningItems};
@@ -89,10 +90,17 @@
     };
     let may_start =
         || keeper.current_epoch(task.shard) == Some(task.epoch) && is_wanted(context, task);
+    let message = ItemMessage {
+        body: &body,
+        fence: ShardFence {
+            shard: task.shard,
+            epoch: task.epoch,
+        },
+    };
     let mut attempts = 0;
     let mut avoid = Vec::new();
     while attempts < MAX_ATTEMPTS {
-        match item_call::call(context, &task.tier, &body, &mut avoid, may_start).await {
+        match item_call::call(context, &task.tier, message, &mut avoid, may_start).await {
             CallOutcome::Answered(status, body) => {
                 return Some(answered(task, attempts + 1, status, body));
             }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,9 +8,9 @@
 use amaranth_net::answer;
 use amaranth_net::client::HttpClient;
 use amaranth_net::clock::unix_ms;
-use amaranth_wire::engine::{EngineLoad, EngineRole, EngineStatus, ListedUpstream};
+use amaranth_wire::engine::{EngineLoad, EngineRole, EngineStatus, ListedUpstream, ShardFence};
 use amaranth_wire::error::{CallError, ErrorKind, RanState};
-use amaranth_wire::id::{ModelId, UpstreamId};
+use amaranth_wire::id::{LeaseEpoch, ModelId, ShardId, UpstreamId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
@@ -132,6 +132,8 @@
     pub(crate) counts: EngineCounts,
     /// Starts of named streams in their order, without imports.
     pub(crate) starts: Vec<StreamStart>,
+    /// Newest epoch of each shard under which an item came.
+    shard_fences: HashMap<ShardId, LeaseEpoch>,
     history: LoadHistory,
     next_request: u64,
 }
@@ -169,6 +171,7 @@
             admission: BatchAdmission::Open,
             counts: EngineCounts::default(),
             starts: Vec::new(),
+            shard_fences: HashMap::new(),
             history: LoadHistory::new(profile.report_lag),
             next_request: 0,
         };
@@ -240,6 +243,22 @@
         (core.batch.running(), core.batch.produced())
     }
 
+    /// Refuses an item that was sent under an older lease of its shard than another one.
+    pub(crate) fn check_fence(&self, fence: ShardFence) -> answer::Result<()> {
+        if !self.profile.checks_fencing {
+            return Ok(());
+        }
+        let mut core = self.core();
+        let newest = core.shard_fences.entry(fence.shard).or_insert(fence.epoch);
+        if fence.epoch < *newest {
+            core.counts.refused += 1;
+            let message = "a newer owner of the shard has sent items";
+            return Err(CallError::new(ErrorKind::NotReady, message));
+        }
+        *newest = fence.epoch;
+        Ok(())
+    }
+
     /// Validates and queues a request as a new stream, optionally named.
     pub(crate) fn start_stream(
         &self,
--- a/crates/standin/src/engine_routes.rs
+++ b/crates/standin/src/engine_routes.rs
@@ -9,9 +9,10 @@
 use amaranth_net::route::{RouteRequest, handler};
 use amaranth_wire::engine::{
     CACHE_EVENTS_PATH, EngineRole, IMPORT_PATH, LAST_EVENT_ID_HEADER, LOAD_PATH, ORDERS_PATH,
-    STATUS_PATH, STREAM_ID_HEADER, STREAMS_PATH,
+    SHARD_FENCE_HEADER, STATUS_PATH, STREAM_ID_HEADER, STREAMS_PATH,
 };
 use amaranth_wire::error::{CallError, ErrorKind};
+use amaranth_wire::id::ParseIdError;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body::Frame;
@@ -104,8 +105,17 @@
     let waiter = state.injector.gate.waiter(request.peer());
     let faults = state.injector.admit(&request).await?;
     let name = request.header(STREAM_ID_HEADER).map(str::to_owned);
+    let fence = request.header(SHARD_FENCE_HEADER).map(str::parse);
+    let fence = fence.transpose().map_err(|e: ParseIdError| {
+        let message = format!("{SHARD_FENCE_HEADER}: {e}");
+        CallError::new(ErrorKind::InvalidRequest, message)
+    })?;
     let body = read_all(request.into_body(), BODY_LIMITS).await?;
-    let stream = state.start_stream(parse_request(kind, &body)?, name)?;
+    let completion = parse_request(kind, &body)?;
+    if let Some(fence) = fence {
+        state.check_fence(fence)?;
+    }
+    let stream = state.start_stream(completion, name)?;
     answer_stream(&state, stream, waiter, &faults, 0).await
 }
 
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -12,6 +12,7 @@
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const STREAM_ID_HEADER: &str = "amaranth-stream-id";
+const SHARD_FENCE_HEADER: &str = "amaranth-shard-fence";
 
 fn fast_profile() -> EngineProfile {
     let mut profile = EngineProfile::default();
@@ -317,3 +318,33 @@
     assert_eq!((stored(true), stored(false)), (8, 4));
     assert_eq!(events["next"], 12);
 }
+
+/// An item is refused if a newer owner of its shard has sent one to the engine.
+#[tokio::test]
+async fn items_of_a_former_owner_of_a_shard_are_refused() {
+    let cases = [
+        (
+            true,
+            ["1:5", "1:5", "1:4", "2:4", "1:6"],
+            [200, 200, 503, 200, 200],
+        ),
+        (false, ["1:5", "1:5", "1:4", "2:4", "1:6"], [200; 5]),
+        (
+            true,
+            ["1:5", "x", "1", "1:", ":5"],
+            [200, 400, 400, 400, 400],
+        ),
+    ];
+    for (checks_fencing, fences, statuses) in cases {
+        let mut profile = fast_profile();
+        profile.checks_fencing = checks_fencing;
+        let engine = TestStandin::engine(profile).await;
+        for (fence, status) in fences.iter().zip(statuses) {
+            let headers = [(SHARD_FENCE_HEADER, *fence)];
+            let body = chat("roof 1", 2, false);
+            let answer = engine.try_post(CHAT_PATH, &headers, &body).await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.0, status, "{fences:?} {fence:?}");
+        }
+    }
+}
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -4,12 +4,18 @@
 //! keeps a named stream for a while after its connection is lost; the stream is resumed by `GET`
 //! with the standard `last-event-id` header.
 
+use std::fmt;
+use std::str::FromStr;
+
 use serde::{Deserialize, Serialize};
 
-use crate::id::{LeaseEpoch, ModelId, UpstreamId};
+use crate::id::{LeaseEpoch, ModelId, ParseIdError, ShardId, UpstreamId};
 
 /// Header with the name under which a stream can be cancelled, resumed or exported.
 pub const STREAM_ID_HEADER: &str = "amaranth-stream-id";
+/// Header of a batch item with the lease under which it is sent, a [`ShardFence`]. An engine refuses it
+/// if an item came under a newer lease of the shard.
+pub const SHARD_FENCE_HEADER: &str = "amaranth-shard-fence";
 /// Header with the index of the last token that the client received.
 pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
 /// Path prefix of named streams: `GET …/{id}` resumes, `POST …/{id}/cancel` and
@@ -32,6 +38,33 @@
 /// Prompt bytes per block of the prefix cache.
 pub const PREFIX_BLOCK_BYTES: usize = 64;
 
+/// The lease under which an owner of a shard sends an item, written as `SHARD:EPOCH`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardFence {
+    /// Shard of the item's job.
+    pub shard: ShardId,
+    /// Epoch of the lease, which grows with each owner.
+    pub epoch: LeaseEpoch,
+}
+
+impl fmt::Display for ShardFence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.shard, self.epoch)
+    }
+}
+
+impl FromStr for ShardFence {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, ParseIdError> {
+        let (shard, epoch) = text.split_once(':').ok_or(ParseIdError::NotANumber)?;
+        Ok(Self {
+            shard: shard.parse()?,
+            epoch: epoch.parse()?,
+        })
+    }
+}
+
 /// Phases of a request that an engine handles.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -1,6 +1,8 @@
 //! Batch jobs while instances are lost, paused or stopped and the log fails: every item has exactly
 //! one result, and items with a result are not run again.
 
+#[path = "support/proxy.rs"]
+mod proxy;
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -8,6 +10,7 @@
 
 use amaranth_net::client::{CallLimits, HttpCall};
 use amaranth_standin::token_text::complete_answer;
+use proxy::TestProxy;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use support::{TestFleet, batch_lines, wait_until};
@@ -188,6 +191,44 @@
     );
 }
 
+/// Requests of a former owner arrive after another one has run the same items.
+#[tokio::test]
+async fn items_that_a_former_owner_sent_are_refused_when_they_come_late() {
+    let mut fleet = start_slow().await;
+    let mut proxies = Vec::new();
+    for engine in &fleet.engines {
+        proxies.push(TestProxy::start(engine.address).await);
+    }
+    let addresses: Vec<_> = proxies
+        .iter()
+        .map(|proxy| proxy.address.to_string())
+        .collect();
+    for name in ["entry-2", "entry-3"] {
+        fleet.entries.remove(name);
+    }
+    fleet.entries.remove("entry-1");
+    fleet.start_entry_with("entry-1", |settings| {
+        settings["upstreams"][0]["addresses"] = json!(addresses);
+    });
+    fleet.wait_ready("entry-1").await;
+    let job = submit(&fleet, "entry-1", "late").await;
+    wait_progress(&fleet, "entry-1", &job, 20).await;
+    proxies.iter().for_each(|proxy| proxy.hold_requests(true));
+    sleep(DELIVERY_TIME).await;
+    fleet.entries["entry-1"].signal("STOP");
+    for name in ["entry-2", "entry-3"] {
+        fleet.start_entry(name);
+        fleet.wait_ready(name).await;
+    }
+    check_results(&fleet, "entry-2", &job).await;
+    let before = item_starts(&fleet).await.len();
+    proxies.iter().for_each(|proxy| proxy.hold_requests(false));
+    sleep(DELIVERY_TIME).await;
+    let starts = item_starts(&fleet).await;
+    let late = &starts[before..];
+    assert!(late.is_empty(), "the engines ran {late:?}");
+}
+
 #[tokio::test]
 async fn a_lagging_instance_returns_results_that_others_have_returned() {
     let fleet = start_slow().await;
