Go on to the next upstream when nothing listens at one

After a crash, sound requests were refused with 503 though upstreams were free: a crashed one stays announced for some seconds, looks idle, and each refused connection counted as one of two refusals and as a retry.

A refused connection proves that the process is gone. It now costs neither a refusal nor a share of the retry budget, up to sixteen upstreams are tried, and the upstream is ejected by the first one instead of the third.

--- a/crates/kernel/src/attempt_plan.rs
+++ b/crates/kernel/src/attempt_plan.rs
@@ -9,6 +9,9 @@
 /// Number of refusals by upstreams that are retried; the next one ends the request. Each further
 /// attempt loads upstreams without room and delays the caller's own retry by a round trip.
 const MAX_REFUSALS: u32 = 2;
+/// Number of upstreams that refused the connection after which the request ends. Trying another costs
+/// a round trip and loads no upstream, and a fifth of a group may have crashed at once.
+const MAX_UNREACHABLE: u32 = 16;
 /// Remaining time below which another attempt can't complete, in milliseconds.
 const MIN_REMAINING_MS: u64 = 20;
 
@@ -17,6 +20,8 @@
 pub enum FailureProof {
     /// The work provably did not run.
     NotRun,
+    /// Nothing listens at the upstream's address, so the work did not run.
+    Unreachable,
     /// The work may have run.
     MayHaveRun,
 }
@@ -46,15 +51,23 @@
 pub struct AttemptCount {
     /// Attempts whose work may have run.
     pub may_have_run: u32,
-    /// Attempts whose work provably did not run.
+    /// Attempts whose work provably did not run, though the upstream was there.
     pub not_run: u32,
+    /// Attempts at upstreams that were not there.
+    pub unreachable: u32,
 }
 
 impl AttemptCount {
+    /// Number of failed attempts.
+    pub fn total(&self) -> u32 {
+        self.may_have_run + self.not_run + self.unreachable
+    }
+
     /// Counts a failed attempt.
     pub fn add(&mut self, proof: FailureProof) {
         match proof {
             FailureProof::NotRun => self.not_run += 1,
+            FailureProof::Unreachable => self.unreachable += 1,
             FailureProof::MayHaveRun => self.may_have_run += 1,
         }
     }
@@ -105,6 +118,12 @@
     if ran && (!bounds.repeatable || count.may_have_run >= bounds.max_attempts) {
         return give_up;
     }
+    if proof == FailureProof::Unreachable {
+        return match count.unreachable > MAX_UNREACHABLE {
+            true => give_up,
+            false => AttemptDecision::Again,
+        };
+    }
     if proof == FailureProof::NotRun && count.not_run > MAX_REFUSALS {
         return give_up;
     }
--- a/crates/kernel/src/ejection.rs
+++ b/crates/kernel/src/ejection.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Records that nothing listens at the upstream's address. One such attempt is proof enough.
+    pub fn record_unreachable(&mut self, now_ms: u64) {
+        if let Self::Healthy { .. } = self {
+            *self = eject(now_ms, 0);
+        } else {
+            self.record_failure(now_ms);
+        }
+    }
+
     /// Whether it may get a request, because it is healthy or a probe is due.
     pub fn is_available(self, now_ms: u64) -> bool {
         match self {
--- a/crates/kernel/tests/attempt_plan.rs
+++ b/crates/kernel/tests/attempt_plan.rs
@@ -1,7 +1,7 @@
 //! Decisions after failed attempts, by run state, route, number of attempts and remaining time.
 
 use amaranth_kernel::attempt_plan::AttemptDecision::{Again, Fail, Late, Refuse};
-use amaranth_kernel::attempt_plan::FailureProof::{MayHaveRun, NotRun};
+use amaranth_kernel::attempt_plan::FailureProof::{MayHaveRun, NotRun, Unreachable};
 use amaranth_kernel::attempt_plan::{
     AttemptBounds, AttemptCount, AttemptDecision, decide_after_failure,
 };
@@ -33,6 +33,7 @@
         let count = AttemptCount {
             may_have_run,
             not_run,
+            unreachable: 0,
         };
         let next = decide_after_failure(count, proof, bounds, &mut RetryBudget::new());
         assert_eq!(next, expected, "{proof:?} {count:?} {bounds:?}");
@@ -44,13 +45,38 @@
     let mut budget = RetryBudget::new();
     while budget.take_retry() {}
     let count = AttemptCount {
-        may_have_run: 0,
         not_run: 1,
+        ..AttemptCount::default()
     };
     let next = decide_after_failure(count, NotRun, bounds(true, 2, 1_000), &mut budget);
     assert_eq!(next, Refuse);
 }
 
+/// A request goes on to the next upstream when some are gone, without a share of the budget.
+#[test]
+fn unreachable_upstreams_cost_no_budget() {
+    let cases = [
+        (0, 1, bounds(false, 1, 1_000), Again),
+        (0, 16, bounds(false, 1, 1_000), Again),
+        (0, 17, bounds(false, 1, 1_000), Refuse),
+        (1, 1, bounds(true, 2, 1_000), Again),
+        (1, 17, bounds(true, 2, 1_000), Fail),
+        (0, 1, bounds(true, 2, 5), Refuse),
+        (1, 1, bounds(true, 2, 5), Late),
+    ];
+    for (may_have_run, unreachable, bounds, expected) in cases {
+        let mut budget = RetryBudget::new();
+        while budget.take_retry() {}
+        let count = AttemptCount {
+            may_have_run,
+            not_run: 0,
+            unreachable,
+        };
+        let next = decide_after_failure(count, Unreachable, bounds, &mut budget);
+        assert_eq!(next, expected, "{count:?} {bounds:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() })]
 
@@ -58,7 +84,7 @@
     /// of attempts that may have run stays within the route's limit.
     #[test]
     fn decisions_respect_repeatability_and_attempt_limit(
-        proofs in prop::collection::vec(prop_oneof![Just(NotRun), Just(MayHaveRun)], 1..12),
+        proofs in prop::collection::vec(prop_oneof![Just(NotRun), Just(Unreachable), Just(MayHaveRun)], 1..40),
         repeatable: bool,
         max_attempts in 1_u32..5,
         remaining_ms in 0_u64..2_000,
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -90,6 +90,10 @@
     pub fn from_error(upstream: UpstreamId, error: &SendError) -> Self {
         let why = error.to_string();
         match error {
+            SendError::Unreachable(_) => Self {
+                proof: FailureProof::Unreachable,
+                ..Self::not_run(upstream, why)
+            },
             SendError::Unsent(_) => Self::not_run(upstream, why),
             SendError::Lost(_) => Self {
                 cause: FailureCause::ConnectionLost,
@@ -169,7 +173,9 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::Lost(_) => Self::lost(error.to_string()),
-            SendError::Unsent(_) | SendError::Broken(_) => Self::new(error.to_string()),
+            SendError::Unreachable(_) | SendError::Unsent(_) | SendError::Broken(_) => {
+                Self::new(error.to_string())
+            }
         }
     }
 }
@@ -197,7 +203,10 @@
     match sent.await {
         Ok(Ok(answer)) => check_answer(codec, permit, request, answer),
         Ok(Err(e)) => {
-            permit.record_failure();
+            match e {
+                SendError::Unreachable(_) => permit.record_unreachable(),
+                _ => permit.record_failure(),
+            }
             AttemptEnd::Failed(FailedAttempt::from_error(upstream, &e))
         }
         Err(_) => {
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -336,7 +336,7 @@
         .await
         {
             AttemptEnd::Answer(answer, permit) => self.handle_answer(*answer, permit, route).await,
-            AttemptEnd::Failed(failed) if failed.proof == FailureProof::NotRun => {
+            AttemptEnd::Failed(failed) if failed.proof != FailureProof::MayHaveRun => {
                 ItemStep::RetryLater
             }
             AttemptEnd::Failed(failed) => {
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -35,6 +35,8 @@
 /// Why a request got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
+    /// Nothing listens at the address, so no byte of the request was written.
+    Unreachable(String),
     /// No byte of the request was written.
     Unsent(String),
     /// The peer ended the connection before its answer was complete; it may have received the
@@ -47,14 +49,14 @@
 impl SendError {
     /// Whether the request certainly did not reach the peer.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent(_))
+        matches!(self, Self::Unreachable(_) | Self::Unsent(_))
     }
 }
 
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unsent(why) => write!(f, "not sent: {why}"),
+            Self::Unreachable(why) | Self::Unsent(why) => write!(f, "not sent: {why}"),
             Self::Lost(why) => write!(f, "connection lost: {why}"),
             Self::Broken(why) => write!(f, "connection failed: {why}"),
         }
@@ -237,7 +239,10 @@
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| unsent("connecting timed out".to_owned()))?
-        .map_err(|e| unsent(e.to_string()))?;
+        .map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => SendError::Unreachable(e.to_string()),
+            _ => unsent(e.to_string()),
+        })?;
     socket::configure(&stream).map_err(|e| unsent(e.to_string()))?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(socket::BUFFER_BYTES)
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -218,7 +218,7 @@
             self.request.id,
             join_parts(&self.request.shared_parts),
             quote(&why),
-            self.count.may_have_run + self.count.not_run,
+            self.count.total(),
             bounds.remaining_ms,
         );
         self.excluded.push(upstream);
--- a/crates/serve/src/request_trace.rs
+++ b/crates/serve/src/request_trace.rs
@@ -83,7 +83,7 @@
         metrics::counter!("requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("request_seconds").record(elapsed.as_secs_f64());
         log::info!(
-            "event=request_ended request={} route={} revision={} upstream={} load={:.1} outcome={outcome} why={} failed_attempts={} refused_attempts={} first_event_ms={} ms={} parts={}",
+            "event=request_ended request={} route={} revision={} upstream={} load={:.1} outcome={outcome} why={} failed_attempts={} refused_attempts={} unreachable={} first_event_ms={} ms={} parts={}",
             self.id,
             self.route,
             self.revision,
@@ -92,6 +92,7 @@
             quote(why),
             count.may_have_run,
             count.not_run,
+            count.unreachable,
             self.first_event_ms.map_or(-1, |ms| ms as i64),
             elapsed.as_millis(),
             self.parts,
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -343,6 +343,11 @@
         self.update(|estimate| estimate.health.record_failure(steady_ms()));
     }
 
+    /// Records that nothing listens at the upstream's address.
+    pub fn record_unreachable(&self) {
+        self.update(|estimate| estimate.health.record_unreachable(steady_ms()));
+    }
+
     fn update(&self, change: impl FnOnce(&mut LoadEstimate)) {
         let mut estimates = self.pool.estimates.lock().expect("not poisoned");
         if let Some(estimate) = estimates.get_mut(&self.upstream) {
