Don't repeat a request that crashed its upstream and nothing speaks for

A request whose upstream crashed as its answer began was tried at the next one at once, so each request with a deadly part cost two upstreams before its caller was told. It now ends with 502 if no answer to another request speaks for the parts of its prompt and the upstream refuses connections; the caller decides whether to repeat it. Whether the upstream has crashed is checked before the decision, by the request itself.

--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -341,7 +341,7 @@
             }
             AttemptEnd::Failed(failed) => {
                 self.log_failed_attempt(failed.upstream.as_str(), &failed.why);
-                self.handle_loss(&failed)
+                self.handle_loss(&failed).await
             }
         }
     }
@@ -385,25 +385,27 @@
                 self.log_failed_attempt(permit.upstream.as_str(), &broken.why);
                 let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
                 self.handle_loss(&failed.with_progress(AnswerProgress::Head))
+                    .await
             }
         }
     }
 
-    /// Records a failed attempt against the item's prompt, unless an upstream has answered the item
-    /// in part.
-    fn handle_loss(&self, failed: &FailedAttempt) -> ItemStep {
+    /// Reports a failed attempt whose upstream may have crashed, unless an upstream has answered the
+    /// item in part.
+    async fn handle_loss(&self, failed: &FailedAttempt) -> ItemStep {
         if failed.cause != FailureCause::ConnectionLost || self.progress.last_event().is_some() {
             return ItemStep::Retry;
         }
         let id = self.pending.item.id.as_str().parse::<RequestId>();
         let address = self.context.placement.pool.address(&failed.upstream);
         if let (Ok(request), Some(address)) = (id, address) {
-            self.context.quarantine.record_loss(LostRequest {
+            let lost = LostRequest {
                 request: &request,
                 parts: &self.shared_parts,
                 failed,
                 address,
-            });
+            };
+            self.context.quarantine.report_loss(lost).await;
         }
         ItemStep::RetryAfterLoss
     }
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{
-    AttemptBounds, AttemptCount, AttemptDecision, decide_after_failure,
+    AttemptBounds, AttemptCount, AttemptDecision, FailureProof, decide_after_failure,
 };
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
@@ -135,16 +135,19 @@
         }
     }
 
-    fn record_loss(&self, failed: &FailedAttempt) {
+    /// Reports an attempt whose upstream may have crashed. Returns whether this request is suspected.
+    async fn report_loss(&self, failed: &FailedAttempt) -> bool {
         let address = self.context.placement.pool.address(&failed.upstream);
-        if let Some(address) = address.filter(|_| !self.answered) {
-            self.context.quarantine.record_loss(LostRequest {
-                request: &self.request.id,
-                parts: &self.request.shared_parts,
-                failed,
-                address,
-            });
-        }
+        let Some(address) = address.filter(|_| !self.answered) else {
+            return false;
+        };
+        let lost = LostRequest {
+            request: &self.request.id,
+            parts: &self.request.shared_parts,
+            failed,
+            address,
+        };
+        self.context.quarantine.report_loss(lost).await
     }
 
     /// Whether another attempt may follow one that may have run.
@@ -184,10 +187,15 @@
                 }
                 AttemptEnd::Failed(failed) => failed,
             };
-            self.record_failure(failed)?;
+            self.record_failure(failed).await?;
         }
     }
 
+    fn decide_next(&self, proof: FailureProof, bounds: AttemptBounds) -> AttemptDecision {
+        let mut budget = self.context.budget.lock().expect("not poisoned");
+        decide_after_failure(self.count, proof, bounds, &mut budget)
+    }
+
     /// Whether a server error from the upstream is followed by another attempt.
     fn retries_failure(&self, answer: &OpenAnswer) -> bool {
         let attempts_left = self.count.may_have_run + 1 < self.route.max_attempts;
@@ -195,8 +203,8 @@
     }
 
     /// Records a failed attempt; an error if no other may follow.
-    pub fn record_failure(&mut self, failed: FailedAttempt) -> Result<(), RequestFailure> {
-        self.record_loss(&failed);
+    pub async fn record_failure(&mut self, failed: FailedAttempt) -> Result<(), RequestFailure> {
+        let is_suspect = self.report_loss(&failed).await;
         let FailedAttempt {
             upstream,
             proof,
@@ -210,9 +218,11 @@
             max_attempts: self.route.max_attempts,
             remaining_ms: self.remaining().as_millis() as u64,
         };
-        let mut budget = self.context.budget.lock().expect("not poisoned");
-        let next = decide_after_failure(self.count, proof, bounds, &mut budget);
-        drop(budget);
+        let next = match is_suspect {
+            // Another attempt would probably crash another upstream.
+            true => AttemptDecision::Fail,
+            false => self.decide_next(proof, bounds),
+        };
         log::info!(
             "event=attempt_failed request={} upstream={upstream} proof={proof:?} cause={cause:?} progress={progress:?} parts={} why={} attempts={} remaining_ms={} next={next:?}",
             self.request.id,
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -128,7 +128,7 @@
     run: &mut ForwardRun,
     failed: FailedAttempt,
 ) -> Result<(OpenAnswer, UpstreamPermit)> {
-    run.record_failure(failed)?;
+    run.record_failure(failed).await?;
     run.open(None).await
 }
 
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -15,13 +15,17 @@
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_wire::id::{PromptPartId, RequestId};
 use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{FailedAttempt, join_parts};
 use crate::placement_service::ReceivedNotice;
 use crate::topic_follower::TopicUpdate;
 
+/// Limit on connecting to an upstream to learn whether it has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Most parts in a report, which has to fit into a datagram.
 const MAX_REPORTED_PARTS: usize = 64;
 /// Most messages that wait to be handled.
@@ -52,8 +56,8 @@
 
 /// What the service's task has to do for a request.
 pub(crate) enum OutgoingNotice {
-    /// Reports a lost request, if the upstream at the address has crashed.
-    Lost(LossReport, SocketAddr),
+    /// Reports a lost request whose upstream has crashed.
+    Lost(LossReport),
     /// Says that upstreams have answered requests with these parts.
     Survived(Vec<PromptPartId>),
 }
@@ -120,27 +124,40 @@
         }
     }
 
-    /// Records a failed attempt. It counts against the parts of its prompt if the upstream ended the
-    /// connection before the first event.
-    pub fn record_loss(&self, lost: LostRequest<'_>) {
+    /// Reports a failed attempt if its upstream has crashed before the first event. Returns whether
+    /// the request itself is suspected: the answer to it had begun, and no other request speaks for
+    /// the parts of its prompt.
+    pub async fn report_loss(&self, lost: LostRequest<'_>) -> bool {
         let failed = lost.failed;
-        let is_suspicious = failed.cause == FailureCause::ConnectionLost
+        let may_be_crash = failed.cause == FailureCause::ConnectionLost
             && failed.progress != AnswerProgress::Events;
-        if !is_suspicious {
-            return;
+        if !may_be_crash {
+            return false;
         }
         let now_ms = steady_ms();
         let parts = self.with_quarantine(|quarantine| quarantine.unanswered(lost.parts, now_ms));
         if parts.is_empty() || self.is_refused(&parts) {
-            return;
+            return false;
         }
+        let crashed = has_crashed(lost.address).await;
         let report = LossReport {
             upstream: failed.upstream.clone(),
             request: lost.request.clone(),
             parts: parts.into_iter().take(MAX_REPORTED_PARTS).collect(),
             begun: failed.progress == AnswerProgress::Head,
         };
-        self.queue(OutgoingNotice::Lost(report, lost.address));
+        log::info!(
+            "event=request_lost request={} upstream={} parts={} begun={} crashed={crashed}",
+            report.request,
+            report.upstream,
+            join_parts(&report.parts),
+            report.begun,
+        );
+        let is_suspect = crashed && report.begun;
+        if crashed {
+            self.queue(OutgoingNotice::Lost(report));
+        }
+        is_suspect
     }
 
     pub(crate) fn with_quarantine<T>(&self, call: impl FnOnce(&mut PromptQuarantine) -> T) -> T {
@@ -258,6 +275,13 @@
     format!("{:016x}", hash_bytes(join_parts(parts).as_bytes(), 0))
 }
 
+/// Whether an upstream refuses connections, as nothing listens after a crash. An upstream that only
+/// ended one connection accepts another.
+async fn has_crashed(address: SocketAddr) -> bool {
+    let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connect, Ok(Err(_)))
+}
+
 /// Logs that a message was dropped because its queue is full.
 pub fn log_dropped(from: impl fmt::Display) {
     log::warn!("event=quarantine_message_dropped from={from}");
--- a/crates/serve/src/quarantine_task.rs
+++ b/crates/serve/src/quarantine_task.rs
@@ -10,9 +10,8 @@
 use amaranth_wire::id::PromptPartId;
 use amaranth_wire::placement_message::PlacementMessage;
 use amaranth_wire::quarantine_message::{LossReport, QuarantineMessage, QuarantineRule};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::join_parts;
@@ -27,8 +26,6 @@
 
 /// Name under which the members that judge are chosen.
 const JUDGE_TASK: &str = "prompt-quarantine";
-/// Limit on connecting to an upstream to learn whether it has crashed.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Delay before a rule is appended to the log again.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Most appends of a rule that are tried. Instances that are running have it by then.
@@ -56,12 +53,12 @@
     stop: CancellationToken,
 ) {
     let (loopback, mut own) = mpsc::channel(MAX_QUEUED_MESSAGES);
-    let task = Arc::new(QuarantineTask {
+    let task = QuarantineTask {
         service,
         placement,
         committer,
         loopback,
-    });
+    };
     let QuarantineQueues {
         mut outgoing,
         mut inbox,
@@ -85,30 +82,12 @@
 }
 
 impl QuarantineTask {
-    async fn handle_notice(self: &Arc<Self>, notice: OutgoingNotice) {
-        match notice {
-            OutgoingNotice::Survived(parts) => {
-                self.tell_judges(QuarantineMessage::Survived(parts)).await;
-            }
-            OutgoingNotice::Lost(report, address) => {
-                tokio::spawn(self.clone().check_loss(report, address));
-            }
-        }
-    }
-
-    /// Reports a lost request if its upstream has crashed.
-    async fn check_loss(self: Arc<Self>, report: LossReport, address: SocketAddr) {
-        let crashed = has_crashed(address).await;
-        log::info!(
-            "event=request_lost request={} upstream={} parts={} begun={} crashed={crashed}",
-            report.request,
-            report.upstream,
-            join_parts(&report.parts),
-            report.begun,
-        );
-        if crashed {
-            self.tell_judges(QuarantineMessage::Lost(report)).await;
-        }
+    async fn handle_notice(&self, notice: OutgoingNotice) {
+        let message = match notice {
+            OutgoingNotice::Survived(parts) => QuarantineMessage::Survived(parts),
+            OutgoingNotice::Lost(report) => QuarantineMessage::Lost(report),
+        };
+        self.tell_judges(message).await;
     }
 
     /// Handles a message; `from` is `None` for this instance's own.
@@ -280,10 +259,3 @@
         self.placement.send(&message, address).await;
     }
 }
-
-/// Whether an upstream refuses connections, as nothing listens after a crash. An upstream that only
-/// ended one connection accepts another.
-async fn has_crashed(address: SocketAddr) -> bool {
-    let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connect, Ok(Err(_)))
-}
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -164,7 +164,7 @@
         drop(permit);
         self.framing = EventFraming::new();
         loop {
-            self.run.record_failure(failed.clone())?;
+            self.run.record_failure(failed.clone()).await?;
             let (answer, permit) = self.run.open(self.last_event).await?;
             if answer.status().is_success() {
                 self.resumed = true;
