--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -28,6 +28,10 @@
 /// Retry delay sent to callers while this instance has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
+/// Time after the start after which readiness doesn't wait for the rules against prompts. Their topic
+/// alone must not keep a fleet from serving.
+const RULE_WAIT_LIMIT: Duration = Duration::from_secs(3);
+
 /// Answers the calls of callers.
 pub struct Gateway {
     /// Routes in force.
@@ -72,13 +76,16 @@
             && !self.forward.placement.pool.is_empty()
             && match self.routes.source() {
                 None => false,
-                Some(RouteSource::Log) => {
-                    self.intake.replica.is_loaded() && self.forward.quarantine.is_loaded()
-                }
+                Some(RouteSource::Log) => self.intake.replica.is_loaded() && self.has_rules(),
                 Some(RouteSource::Peer) => true,
             }
     }
 
+    /// Whether the rules against prompts that crash upstreams have been read, or can't be read for now.
+    fn has_rules(&self) -> bool {
+        self.forward.quarantine.is_loaded() || self.started.elapsed() >= RULE_WAIT_LIMIT
+    }
+
     /// Answers one call; failures become error answers.
     pub async fn answer(&self, call: Request<Incoming>) -> Answer {
         let (parts, body) = call.into_parts();
