--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod batch;
 pub mod call;
 pub mod connection_pool;
+pub mod crash_check;
 pub mod forward_run;
 pub mod gateway;
 pub mod listener;
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -15,17 +15,14 @@
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_wire::id::{PromptPartId, RequestId};
 use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{FailedAttempt, join_parts};
+use crate::crash_check::has_crashed;
 use crate::placement_service::ReceivedNotice;
 use crate::topic_follower::TopicUpdate;
 
-/// Limit on connecting to an upstream to learn whether it has crashed.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Most parts in a report, which has to fit into a datagram.
 const MAX_REPORTED_PARTS: usize = 64;
 /// Most messages that wait to be handled.
@@ -275,13 +272,6 @@
     format!("{:016x}", hash_bytes(join_parts(parts).as_bytes(), 0))
 }
 
-/// Whether an upstream refuses connections, as nothing listens after a crash. An upstream that only
-/// ended one connection accepts another.
-async fn has_crashed(address: SocketAddr) -> bool {
-    let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connect, Ok(Err(_)))
-}
-
 /// Logs that a message was dropped because its queue is full.
 pub fn log_dropped(from: impl fmt::Display) {
     log::warn!("event=quarantine_message_dropped from={from}");
