--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::Request;
@@ -60,8 +62,9 @@
 {
     while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
         match accepted {
-            Ok((stream, _)) => {
-                let served = serve_connection(stream, limits(), answer.clone(), stop.clone());
+            Ok((stream, caller)) => {
+                let served =
+                    serve_connection(stream, caller, limits(), answer.clone(), stop.clone());
                 connections.spawn(served);
             }
             Err(e) => {
@@ -72,8 +75,16 @@
     }
 }
 
+/// Calls of one connection.
+#[derive(Debug, Default)]
+struct CallCount {
+    received: AtomicU64,
+    answered: AtomicU64,
+}
+
 async fn serve_connection<F, A>(
     stream: TcpStream,
+    caller: SocketAddr,
     limits: ConnectionLimits,
     answer: F,
     stop: CancellationToken,
@@ -85,9 +96,16 @@
         log::debug!("event=connection_setup_failed error={:?}", e.to_string());
         return;
     }
+    let count = Arc::new(CallCount::default());
+    let counted = count.clone();
     let service = service_fn(move |call| {
-        let answer = answer.clone();
-        async move { Ok::<_, Infallible>(answer(call).await) }
+        let (answer, count) = (answer.clone(), counted.clone());
+        async move {
+            count.received.fetch_add(1, Ordering::Relaxed);
+            let answer = answer(call).await;
+            count.answered.fetch_add(1, Ordering::Relaxed);
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -103,6 +121,21 @@
         }
     };
     if let Err(e) = ended {
-        log::debug!("event=connection_ended error={:?}", e.to_string());
+        log_failed_connection(caller, &count, &e);
     }
 }
+
+/// Logs a connection that ended within a call. The ends of idle connections are many and lose nothing.
+fn log_failed_connection(caller: SocketAddr, count: &CallCount, error: &hyper::Error) {
+    let received = count.received.load(Ordering::Relaxed);
+    let answered = count.answered.load(Ordering::Relaxed);
+    let (is_timeout, error) = (error.is_timeout(), error.to_string());
+    let level = match received > answered || !is_timeout {
+        true => log::Level::Info,
+        false => log::Level::Debug,
+    };
+    log::log!(
+        level,
+        "event=connection_failed caller={caller} received={received} answered={answered} timeout={is_timeout} error={error:?}"
+    );
+}
--- a/crates/serve/src/request_trace.rs
+++ b/crates/serve/src/request_trace.rs
@@ -7,8 +7,8 @@
 
 use crate::attempt::join_parts;
 
-/// Collects what is logged and measured when a request ends; dropping it means that the caller
-/// left.
+/// Collects what is logged and measured when a request ends. Dropping it means that the connection to
+/// the caller is closed, or that the request's task panics.
 #[derive(Debug)]
 pub struct RequestTrace {
     id: RequestId,
@@ -73,6 +73,11 @@
         self.upstream = upstream.to_owned();
     }
 
+    /// Whether the caller has the head of the answer, so that a failure can't be told with a status.
+    pub fn has_begun(&self) -> bool {
+        self.first_event_ms.is_some()
+    }
+
     /// Writes the log line and the metrics; later calls have no effect.
     pub fn end(&mut self, outcome: &'static str, why: &str, count: AttemptCount) {
         if self.ended {
@@ -102,6 +107,10 @@
 
 impl Drop for RequestTrace {
     fn drop(&mut self) {
-        self.end("caller_left", "", AttemptCount::default());
+        let outcome = match std::thread::panicking() {
+            true => "panicked",
+            false => "caller_left",
+        };
+        self.end(outcome, "", AttemptCount::default());
     }
 }
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -80,8 +80,7 @@
                 RelayStep::Broken(broken) => {
                     let why = broken.why.clone();
                     if let Err(failure) = self.resume(broken).await {
-                        self.trace
-                            .end(failure.outcome(), &failure.reason(), self.run.count());
+                        self.end_failed(&failure);
                         return Some(Err(BrokenBody(why)));
                     }
                 }
@@ -150,6 +149,15 @@
         self.trace.end("served", "", self.run.count());
     }
 
+    /// Logs the end of a stream that isn't complete. A failure after its first event cuts the answer.
+    fn end_failed(&mut self, failure: &RequestFailure) {
+        let outcome = match self.trace.has_begun() {
+            true => "cut",
+            false => failure.outcome(),
+        };
+        self.trace.end(outcome, &failure.reason(), self.run.count());
+    }
+
     async fn resume(&mut self, broken: BrokenAnswer) -> std::result::Result<(), RequestFailure> {
         let (answer, permit) = self.source.take().ok_or(RequestFailure::Late)?;
         // Closes the connection, which cancels the request at the upstream.
