Leave a silent upstream only for another one that takes the request

Callers saw streams cut and requests answered 502 though their upstream was sound and went on after a second. Cause: at the silence limit the connection was closed, and only then was it decided whether another attempt was allowed and had room. Ruled out: more retry budget (only moves the number of streams that are cut), a longer silence limit (stalled streams are then left too late for their callers).

Now a silent upstream keeps its request until another one has answered, or has had it for 300 ms without refusing it; without an allowed attempt or a place the request waits until its own deadline.

--- a/crates/kernel/src/attempt_plan.rs
+++ b/crates/kernel/src/attempt_plan.rs
@@ -13,7 +13,7 @@
 /// a round trip and loads no upstream, and a fifth of a group may have crashed at once.
 const MAX_UNREACHABLE: u32 = 16;
 /// Remaining time below which another attempt can't complete, in milliseconds.
-const MIN_REMAINING_MS: u64 = 20;
+pub(crate) const MIN_REMAINING_MS: u64 = 20;
 
 /// What is known of a failed attempt's work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ejection;
 pub mod event_framing;
 pub mod file_table;
+pub mod hand_over;
 pub mod hashing;
 pub mod hedge_policy;
 pub mod item_order;
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -1,5 +1,7 @@
 //! Runs one forwarded request: attempts it until an upstream answers or no attempt may follow.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,7 +25,11 @@
 use crate::quarantine_service::{LostRequest, QuarantineService};
 use crate::upstream_pool::{PoolStep, UpstreamPermit};
 
-/// Limit on an upstream's silence before another is tried, as a multiple of the objective: a queue
+mod silence_watch;
+
+pub use silence_watch::{UpstreamSilence, WatchEnd};
+
+/// Limit on an upstream's silence before another is looked for, as a multiple of the objective: a queue
 /// that meets the objective doesn't explain a longer wait.
 const SILENCE_OBJECTIVES: u32 = 3;
 /// Share of the objective within which a stream at a free slot must begin: streams usually begin
@@ -66,12 +72,37 @@
     }
 }
 
+/// Result of forwarding a request.
+pub type Result<T> = std::result::Result<T, RequestFailure>;
+
+/// An upstream's answer with the place that the request takes there.
+pub type PlacedAnswer = (OpenAnswer, UpstreamPermit);
+
+/// An attempt whose answer has not begun. Dropping it closes its connection.
+pub struct RunningAttempt {
+    upstream: UpstreamId,
+    sent: Instant,
+    head_wait: Duration,
+    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
+}
+
+impl RunningAttempt {
+    /// The silence since the request was sent.
+    fn silence(&self) -> UpstreamSilence {
+        UpstreamSilence {
+            upstream: self.upstream.clone(),
+            since: self.sent,
+            limit: self.head_wait,
+        }
+    }
+}
+
 /// A forwarded request and its attempts so far.
 pub struct ForwardRun {
     context: Arc<ForwardContext>,
     route: Arc<RouteRule>,
     group: UpstreamGroupId,
-    request: ForwardRequest,
+    request: Arc<ForwardRequest>,
     started: Instant,
     deadline: Instant,
     count: AttemptCount,
@@ -96,7 +127,7 @@
         Self {
             context,
             group,
-            request,
+            request: Arc::new(request),
             started,
             deadline: started + Duration::from_millis(limit_ms),
             count: AttemptCount::default(),
@@ -161,33 +192,69 @@
 
     /// Attempts the request until an upstream answers. `resume_after` is the last event that the
     /// caller has received.
-    pub async fn open(
+    pub async fn open(&mut self, resume_after: Option<u64>) -> Result<PlacedAnswer> {
+        loop {
+            let permit = self.acquire_upstream(resume_after.is_some()).await?;
+            let running = self.start_attempt(permit, resume_after);
+            match self.await_answer(running, resume_after).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => self.record_failure(failed).await?,
+            }
+        }
+    }
+
+    /// Sends the request to an upstream. Dropping the attempt closes its connection.
+    fn start_attempt(&self, permit: UpstreamPermit, resume_after: Option<u64>) -> RunningAttempt {
+        let limits = AttemptLimits {
+            head_deadline: self.deadline,
+            remaining: Some(self.remaining()),
+            resume_after,
+        };
+        let (context, request) = (self.context.clone(), self.request.clone());
+        RunningAttempt {
+            upstream: permit.upstream.clone(),
+            sent: Instant::now(),
+            head_wait: self.head_wait(permit.has_free_slot),
+            end: Box::pin(async move {
+                let (pool, codec) = (&context.placement.pool, &context.codec);
+                attempt(pool, codec, permit, &request, limits).await
+            }),
+        }
+    }
+
+    /// Waits for the answer to an attempt, or to that of an upstream which takes the request over.
+    pub(crate) async fn await_answer(
         &mut self,
+        mut running: RunningAttempt,
         resume_after: Option<u64>,
-    ) -> Result<(OpenAnswer, UpstreamPermit), RequestFailure> {
+    ) -> std::result::Result<PlacedAnswer, FailedAttempt> {
         loop {
-            let permit = self.acquire_upstream(resume_after.is_some()).await?;
-            let limits = self.limits(resume_after, permit.has_free_slot);
-            let context = self.context.clone();
-            let step = attempt(
-                &context.placement.pool,
-                &context.codec,
-                permit,
-                &self.request,
-                limits,
-            )
-            .await;
-            let failed = match step {
-                AttemptEnd::Answer(answer, permit) => {
-                    if !self.retries_failure(&answer) {
-                        return Ok((*answer, permit));
-                    }
-                    let why = format!("answered with {}", answer.status().as_u16());
-                    FailedAttempt::may_have_run(permit.upstream.clone(), why)
-                }
-                AttemptEnd::Failed(failed) => failed,
-            };
-            self.record_failure(failed).await?;
+            let silence = running.silence();
+            let watched = self.watch(&silence, &mut running.end, resume_after).await;
+            match watched {
+                WatchEnd::Heard(end) => return self.accept(end),
+                WatchEnd::Answered(answer) => return Ok(*answer),
+                WatchEnd::Left(successor) => running = successor,
+            }
+        }
+    }
+
+    /// Takes the end of an attempt for the request's answer, unless another attempt may do better.
+    fn accept(&self, end: AttemptEnd) -> std::result::Result<PlacedAnswer, FailedAttempt> {
+        match end {
+            AttemptEnd::Answer(answer, permit) if self.retries_failure(&answer) => {
+                Err(error_answer(&answer, &permit))
+            }
+            AttemptEnd::Answer(answer, permit) => Ok((*answer, permit)),
+            AttemptEnd::Failed(failed) => Err(failed),
+        }
+    }
+
+    fn bounds(&self) -> AttemptBounds {
+        AttemptBounds {
+            repeatable: self.is_repeatable(),
+            max_attempts: self.route.max_attempts,
+            remaining_ms: self.remaining().as_millis() as u64,
         }
     }
 
@@ -203,34 +270,16 @@
     }
 
     /// Records a failed attempt; an error if no other may follow.
-    pub async fn record_failure(&mut self, failed: FailedAttempt) -> Result<(), RequestFailure> {
+    pub async fn record_failure(&mut self, failed: FailedAttempt) -> Result<()> {
         let is_suspect = self.report_loss(&failed).await;
-        let FailedAttempt {
-            upstream,
-            proof,
-            cause,
-            progress,
-            why,
-        } = failed;
-        self.count.add(proof);
-        let bounds = AttemptBounds {
-            repeatable: self.is_repeatable(),
-            max_attempts: self.route.max_attempts,
-            remaining_ms: self.remaining().as_millis() as u64,
-        };
+        self.count.add(failed.proof);
         let next = match is_suspect {
             // Another attempt would probably crash another upstream.
             true => AttemptDecision::Fail,
-            false => self.decide_next(proof, bounds),
+            false => self.decide_next(failed.proof, self.bounds()),
         };
-        log::info!(
-            "event=attempt_failed request={} upstream={upstream} proof={proof:?} cause={cause:?} progress={progress:?} parts={} why={} attempts={} remaining_ms={} next={next:?}",
-            self.request.id,
-            join_parts(&self.request.shared_parts),
-            quote(&why),
-            self.count.total(),
-            bounds.remaining_ms,
-        );
+        self.log_failed_attempt(&failed, &format!("{next:?}"));
+        let FailedAttempt { upstream, why, .. } = failed;
         self.excluded.push(upstream);
         match next {
             AttemptDecision::Again => Ok(()),
@@ -243,7 +292,25 @@
         }
     }
 
-    async fn acquire_upstream(&self, resuming: bool) -> Result<UpstreamPermit, RequestFailure> {
+    fn log_failed_attempt(&self, failed: &FailedAttempt, next: &str) {
+        let FailedAttempt {
+            upstream,
+            proof,
+            cause,
+            progress,
+            why,
+        } = failed;
+        log::info!(
+            "event=attempt_failed request={} upstream={upstream} proof={proof:?} cause={cause:?} progress={progress:?} parts={} why={} attempts={} remaining_ms={} next={next}",
+            self.request.id,
+            join_parts(&self.request.shared_parts),
+            quote(why),
+            self.count.total(),
+            self.remaining().as_millis(),
+        );
+    }
+
+    async fn acquire_upstream(&self, resuming: bool) -> Result<UpstreamPermit> {
         if let Some(remaining) = self.context.quarantine.refusal(&self.request.shared_parts) {
             let why = "its prompt crashes upstreams";
             return Err(self.give_up(remaining.as_millis() as u64, why));
@@ -283,20 +350,8 @@
         }
     }
 
-    fn limits(&self, resume_after: Option<u64>, has_free_slot: bool) -> AttemptLimits {
-        let head_deadline = match self.is_repeatable() && self.may_attempt_again() {
-            true => (Instant::now() + self.head_wait(has_free_slot)).min(self.deadline),
-            false => self.deadline,
-        };
-        AttemptLimits {
-            head_deadline,
-            remaining: Some(self.remaining()),
-            resume_after,
-        }
-    }
-
-    /// Limit on waiting for the head of an answer. A stream at a free slot begins well within its
-    /// objective, so a dead upstream is abandoned early enough for another to meet it.
+    /// Time after which an upstream that hasn't begun its answer counts as silent. A stream at a free
+    /// slot begins well within its objective, so another upstream can still meet it.
     fn head_wait(&self, has_free_slot: bool) -> Duration {
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
         match is_stream && has_free_slot && self.count == AttemptCount::default() {
@@ -305,27 +360,20 @@
         }
     }
 
-    fn may_attempt_again(&self) -> bool {
-        self.count.may_have_run + 1 < self.route.max_attempts
-    }
-
-    /// Longest silence of an upstream before another one is tried.
+    /// Silence of an upstream after which another one is looked for.
     pub fn silence_limit(&self) -> Duration {
         let objective = Duration::from_millis(self.route.objective_ms);
         (objective * SILENCE_OBJECTIVES).max(MIN_SILENCE_LIMIT)
     }
 
-    /// Time at which a silent stream is abandoned for another upstream.
-    pub fn silence_deadline(&self) -> Instant {
-        let resumable = matches!(self.route.kind, RouteKind::Stream { resumable: true });
-        match resumable && self.may_attempt_again() {
-            true => (Instant::now() + self.silence_limit()).min(self.deadline),
-            false => self.deadline,
-        }
-    }
-
     /// Id of the request, for log lines.
     pub fn id(&self) -> &str {
         self.request.id.as_str()
     }
 }
+
+/// Failure of an attempt whose answer is an error.
+pub fn error_answer(answer: &OpenAnswer, permit: &UpstreamPermit) -> FailedAttempt {
+    let why = format!("answered with {}", answer.status().as_u16());
+    FailedAttempt::may_have_run(permit.upstream.clone(), why)
+}
--- /dev/null
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -0,0 +1,183 @@
+//! Watches a silent upstream, and gives its request to another one that has room for it.
+
+use std::future::Future;
+use std::pin::pin;
+use std::time::Duration;
+
+use amaranth_kernel::attempt_plan::FailureProof;
+use amaranth_kernel::hand_over::{SilenceStep, SilentRequest, after_silence, may_take_place};
+use amaranth_wire::id::UpstreamId;
+use amaranth_wire::placement_message::PlacementDemand;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{ForwardRun, PlacedAnswer, RunningAttempt, error_answer};
+use crate::attempt::{AttemptEnd, FailedAttempt};
+use crate::upstream_pool::{PoolStep, UpstreamPermit};
+
+/// Interval at which another upstream is looked for while one is silent.
+const SUCCESSOR_SEARCH_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time for which a request is at two upstreams. Engines must not work on one request
+/// together for more than 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// The upstream that a request waits for.
+#[derive(Debug, Clone)]
+pub struct UpstreamSilence {
+    /// Its id.
+    pub upstream: UpstreamId,
+    /// When it was last heard from, or sent the request.
+    pub since: Instant,
+    /// Silence after which another upstream is looked for.
+    pub limit: Duration,
+}
+
+/// How the wait for an upstream ended.
+pub enum WatchEnd<T> {
+    /// It was heard from.
+    Heard(T),
+    /// Another upstream has answered, and the silent one is to be left.
+    Answered(Box<PlacedAnswer>),
+    /// Another upstream works on the request, and the silent one is to be left.
+    Left(RunningAttempt),
+}
+
+/// What came of asking another upstream.
+enum SuccessorStep<T> {
+    End(WatchEnd<T>),
+    /// It doesn't take the request.
+    Failed(FailedAttempt),
+}
+
+impl ForwardRun {
+    /// Waits for a silent upstream, which is heard from when `heard` completes. It is left only for
+    /// another one that takes the request.
+    pub(crate) async fn watch<T>(
+        &mut self,
+        silence: &UpstreamSilence,
+        heard: impl Future<Output = T>,
+        resume_after: Option<u64>,
+    ) -> WatchEnd<T> {
+        let mut heard = pin!(heard);
+        tokio::select! {
+            biased;
+            heard = heard.as_mut() => return WatchEnd::Heard(heard),
+            () = sleep_until(silence.since + silence.limit) => {}
+        }
+        self.context
+            .placement
+            .pool
+            .record_failure(&silence.upstream);
+        let mut is_logged = false;
+        loop {
+            let found = tokio::select! {
+                biased;
+                heard = heard.as_mut() => return WatchEnd::Heard(heard),
+                found = self.find_successor(silence) => found,
+            };
+            if let Some(permit) = found {
+                let successor = self.start_attempt(permit, resume_after);
+                match self.try_successor(silence, successor, heard.as_mut()).await {
+                    SuccessorStep::End(end) => return end,
+                    SuccessorStep::Failed(failed) => self.record_refused_successor(failed).await,
+                }
+            } else if !is_logged {
+                is_logged = true;
+                self.log_silence(silence, "waiting");
+            }
+            tokio::select! {
+                biased;
+                heard = heard.as_mut() => return WatchEnd::Heard(heard),
+                () = sleep(SUCCESSOR_SEARCH_PERIOD) => {}
+            }
+        }
+    }
+
+    /// Takes a place at another upstream; `None` if no other attempt is allowed or none has room.
+    async fn find_successor(&self, silence: &UpstreamSilence) -> Option<UpstreamPermit> {
+        let request = SilentRequest {
+            silent_ms: silence.since.elapsed().as_millis() as u64,
+            count: self.count,
+            bounds: self.bounds(),
+        };
+        let SilenceStep::FindSuccessor { max_wait_ms } = after_silence(&request) else {
+            return None;
+        };
+        let context = &self.context;
+        if context.quarantine.is_refused(&self.request.shared_parts) {
+            return None;
+        }
+        let demand = PlacementDemand::Online {
+            objective_ms: max_wait_ms,
+        };
+        let excluded = [&self.excluded[..], std::slice::from_ref(&silence.upstream)].concat();
+        match context
+            .placement
+            .acquire(&self.group, demand, &excluded)
+            .await
+        {
+            PoolStep::Send(permit) => {
+                let mut budget = context.budget.lock().expect("not poisoned");
+                may_take_place(permit.has_free_slot, &mut budget).then_some(permit)
+            }
+            PoolStep::Refuse { .. } | PoolStep::NoUpstream => None,
+        }
+    }
+
+    /// Waits until either upstream is heard from, or both were silent for too long together.
+    async fn try_successor<T>(
+        &mut self,
+        silence: &UpstreamSilence,
+        mut successor: RunningAttempt,
+        heard: impl Future<Output = T>,
+    ) -> SuccessorStep<T> {
+        let end = tokio::select! {
+            biased;
+            heard = heard => {
+                self.count.add(FailureProof::MayHaveRun);
+                self.log_silence(silence, "ended");
+                return SuccessorStep::End(WatchEnd::Heard(heard));
+            }
+            end = &mut successor.end => end,
+            () = sleep(MAX_OVERLAP) => {
+                self.leave(silence, &successor.upstream);
+                return SuccessorStep::End(WatchEnd::Left(successor));
+            }
+        };
+        match end {
+            AttemptEnd::Answer(answer, permit) if answer.status().is_success() => {
+                self.leave(silence, &successor.upstream);
+                SuccessorStep::End(WatchEnd::Answered(Box::new((*answer, permit))))
+            }
+            AttemptEnd::Answer(answer, permit) => {
+                SuccessorStep::Failed(error_answer(&answer, &permit))
+            }
+            AttemptEnd::Failed(failed) => SuccessorStep::Failed(failed),
+        }
+    }
+
+    /// Counts the silent upstream as a failed attempt.
+    fn leave(&mut self, silence: &UpstreamSilence, successor: &UpstreamId) {
+        self.count.add(FailureProof::MayHaveRun);
+        self.excluded.push(silence.upstream.clone());
+        metrics::counter!("silent_upstreams_left_total").increment(1);
+        self.log_silence(silence, &format!("left successor={successor}"));
+    }
+
+    async fn record_refused_successor(&mut self, failed: FailedAttempt) {
+        self.report_loss(&failed).await;
+        self.count.add(failed.proof);
+        self.log_failed_attempt(&failed, "Wait");
+        self.excluded.push(failed.upstream);
+    }
+
+    fn log_silence(&self, silence: &UpstreamSilence, outcome: &str) {
+        log::info!(
+            "event=upstream_silent request={} upstream={} silent_ms={} attempts={} remaining_ms={} outcome={outcome}",
+            self.id(),
+            silence.upstream,
+            silence.since.elapsed().as_millis(),
+            self.count.total(),
+            self.remaining().as_millis(),
+        );
+    }
+}
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -1,6 +1,8 @@
 //! Relays an event stream in complete events, and resumes it at another upstream after a failure if
 //! the route allows it.
 
+use std::time::Duration;
+
 use amaranth_kernel::attempt_plan::AnswerProgress;
 use amaranth_kernel::event_framing::EventFraming;
 use bytes::{Bytes, BytesMut};
@@ -9,28 +11,34 @@
 use crate::answer::{BrokenBody, RequestFailure};
 use crate::attempt::{BrokenAnswer, FailedAttempt};
 use crate::connection_pool::OpenAnswer;
-use crate::forward_run::ForwardRun;
+use crate::forward_run::{ForwardRun, PlacedAnswer, UpstreamSilence, WatchEnd, error_answer};
 use crate::request_trace::RequestTrace;
 use crate::upstream_pool::UpstreamPermit;
 
 /// The event stream of one request.
 pub struct StreamRelay {
     run: ForwardRun,
+    reader: StreamReader,
+    request_started: Instant,
+    trace: RequestTrace,
+}
+
+/// Reads complete events from the upstream that serves the stream.
+struct StreamReader {
     source: Option<(OpenAnswer, UpstreamPermit)>,
     framing: EventFraming,
-    /// When the upstream is abandoned unless another event is complete. Bytes that complete no event
-    /// don't move it.
-    silence_deadline: Instant,
+    /// When the last event was complete, or the upstream's answer began. Bytes that complete no event
+    /// don't count.
+    last_heard: Instant,
+    deadline: Instant,
     last_event: Option<u64>,
     /// Whether the current upstream has sent an event.
     has_events: bool,
-    request_started: Instant,
     resumed: bool,
-    trace: RequestTrace,
 }
 
-/// Result of reading from a stream.
-enum RelayStep {
+/// Result of reading what has arrived of a stream.
+enum ReadStep {
     /// Complete events to relay.
     Events(Bytes),
     /// More bytes are needed for a complete event.
@@ -41,6 +49,20 @@
     Broken(BrokenAnswer),
 }
 
+/// What follows in a relayed stream.
+enum RelayStep {
+    /// Complete events to relay.
+    Events(Bytes),
+    /// Another upstream goes on.
+    More,
+    /// The stream ended after a complete event.
+    End,
+    /// The upstream that served the stream failed.
+    Failed(FailedAttempt),
+    /// The stream has failed before.
+    Closed,
+}
+
 /// Result of relaying events.
 pub type Result<T> = std::result::Result<T, BrokenBody>;
 
@@ -52,17 +74,11 @@
         permit: UpstreamPermit,
         trace: RequestTrace,
     ) -> Self {
-        let request_started = run.started();
-        let silence_deadline = run.silence_deadline();
+        let reader = StreamReader::new(answer, permit, run.deadline());
         Self {
+            request_started: run.started(),
             run,
-            source: Some((answer, permit)),
-            framing: EventFraming::new(),
-            silence_deadline,
-            last_event: None,
-            has_events: false,
-            request_started,
-            resumed: false,
+            reader,
             trace,
         }
     }
@@ -70,16 +86,22 @@
     /// Returns the next events to relay; `None` at the end of the stream.
     pub async fn next_events(&mut self) -> Option<Result<Bytes>> {
         loop {
-            match self.step().await {
-                RelayStep::Events(events) => return Some(Ok(events)),
+            match self.next_step().await {
+                RelayStep::Events(events) => {
+                    self.record_events();
+                    return Some(Ok(events));
+                }
                 RelayStep::More => {}
                 RelayStep::End => {
                     self.finish();
                     return None;
                 }
-                RelayStep::Broken(broken) => {
-                    let why = broken.why.clone();
-                    if let Err(failure) = self.resume(broken).await {
+                RelayStep::Closed => {
+                    return Some(Err(BrokenBody("the stream has failed".to_owned())));
+                }
+                RelayStep::Failed(failed) => {
+                    let why = failed.why.clone();
+                    if let Err(failure) = self.resume(failed).await {
                         self.end_failed(&failure);
                         return Some(Err(BrokenBody(why)));
                     }
@@ -88,79 +110,177 @@
         }
     }
 
-    async fn step(&mut self) -> RelayStep {
+    /// Waits for events. A silent upstream is left for another one that takes the stream.
+    async fn next_step(&mut self) -> RelayStep {
+        let Some(silence) = self.reader.silence(self.run.silence_limit()) else {
+            return RelayStep::Closed;
+        };
+        let last_event = self.reader.last_event;
+        let events = self.reader.read_events();
+        let answer = match self.run.watch(&silence, events, last_event).await {
+            WatchEnd::Heard(step) => return step,
+            WatchEnd::Answered(answer) => Ok(*answer),
+            WatchEnd::Left(successor) => {
+                self.reader.close();
+                self.run.await_answer(successor, last_event).await
+            }
+        };
+        match answer.and_then(check_status) {
+            Ok(answer) => {
+                self.resume_from(answer);
+                RelayStep::More
+            }
+            Err(failed) => RelayStep::Failed(failed),
+        }
+    }
+
+    fn record_events(&mut self) {
+        // An upstream that crashes on a request does so as it begins the answer.
+        if self.reader.has_events {
+            self.run.record_answer();
+        }
+        self.reader.has_events = true;
+        self.trace.first_event();
+    }
+
+    fn finish(&mut self) {
+        if let Some((answer, permit)) = self.reader.source.take() {
+            let took = self.request_started.elapsed().as_secs_f64() * 1000.0;
+            permit.record_success((!self.reader.resumed).then_some(took));
+            self.run.record_answer();
+            answer.finish();
+        }
+        self.trace.end("served", "", self.run.count());
+    }
+
+    /// Logs the end of a stream that isn't complete. A failure after its first event cuts the answer.
+    fn end_failed(&mut self, failure: &RequestFailure) {
+        let outcome = match self.trace.has_begun() {
+            true => "cut",
+            false => failure.outcome(),
+        };
+        self.trace.end(outcome, &failure.reason(), self.run.count());
+    }
+
+    /// Goes on at another upstream after one has failed.
+    async fn resume(
+        &mut self,
+        mut failed: FailedAttempt,
+    ) -> std::result::Result<(), RequestFailure> {
+        loop {
+            self.run.record_failure(failed).await?;
+            match check_status(self.run.open(self.reader.last_event).await?) {
+                Ok(answer) => {
+                    self.resume_from(answer);
+                    return Ok(());
+                }
+                Err(next) => failed = next,
+            }
+        }
+    }
+
+    fn resume_from(&mut self, (answer, permit): PlacedAnswer) {
+        let last_event = self.reader.last_event;
+        self.trace.resumed(permit.upstream.as_str(), last_event);
+        self.reader.resume_from(answer, permit);
+    }
+}
+
+/// An answer that continues a stream must be a success.
+fn check_status(
+    (answer, permit): PlacedAnswer,
+) -> std::result::Result<PlacedAnswer, FailedAttempt> {
+    match answer.status().is_success() {
+        true => Ok((answer, permit)),
+        false => Err(error_answer(&answer, &permit)),
+    }
+}
+
+impl StreamReader {
+    fn new(answer: OpenAnswer, permit: UpstreamPermit, deadline: Instant) -> Self {
+        Self {
+            source: Some((answer, permit)),
+            framing: EventFraming::new(),
+            last_heard: Instant::now(),
+            deadline,
+            last_event: None,
+            has_events: false,
+            resumed: false,
+        }
+    }
+
+    /// The silence of the upstream; `None` without one.
+    fn silence(&self, limit: Duration) -> Option<UpstreamSilence> {
+        let (_, permit) = self.source.as_ref()?;
+        Some(UpstreamSilence {
+            upstream: permit.upstream.clone(),
+            since: self.last_heard,
+            limit,
+        })
+    }
+
+    /// Reads until an event is complete or the stream ends.
+    async fn read_events(&mut self) -> RelayStep {
+        loop {
+            match self.read_chunk().await {
+                ReadStep::Events(events) => return RelayStep::Events(events),
+                ReadStep::More => {}
+                ReadStep::End => return RelayStep::End,
+                ReadStep::Broken(broken) => return self.fail(broken),
+            }
+        }
+    }
+
+    async fn read_chunk(&mut self) -> ReadStep {
         let Some((answer, _)) = &mut self.source else {
-            return RelayStep::Broken(BrokenAnswer::new("no upstream to read from"));
+            return ReadStep::Broken(BrokenAnswer::new("no upstream to read from"));
         };
-        match timeout_at(self.silence_deadline, answer.next_chunk()).await {
+        match timeout_at(self.deadline, answer.next_chunk()).await {
             Ok(Ok(Some(chunk))) => match self.framing.push(&chunk) {
                 Ok(()) => self.complete_events(),
-                Err(_) => RelayStep::Broken(BrokenAnswer::new("an event exceeds the size limit")),
+                Err(_) => ReadStep::Broken(BrokenAnswer::new("an event exceeds the size limit")),
             },
             Ok(Ok(None)) if self.framing.has_partial() => {
-                RelayStep::Broken(BrokenAnswer::lost("the stream ended within an event"))
+                ReadStep::Broken(BrokenAnswer::lost("the stream ended within an event"))
             }
             Ok(Ok(None)) if !answer.is_framed() && self.last_event.is_none() => {
-                RelayStep::Broken(BrokenAnswer::lost("the connection ended before an event"))
+                ReadStep::Broken(BrokenAnswer::lost("the connection ended before an event"))
             }
-            Ok(Ok(None)) => RelayStep::End,
-            Ok(Err(e)) => RelayStep::Broken(e.into()),
-            Err(_) => RelayStep::Broken(BrokenAnswer::new("no event before the silence deadline")),
+            Ok(Ok(None)) => ReadStep::End,
+            Ok(Err(e)) => ReadStep::Broken(e.into()),
+            Err(_) => ReadStep::Broken(BrokenAnswer::new("the stream didn't end by the deadline")),
         }
     }
 
     /// Returns the complete events received so far. After a resumption, events that the caller
     /// already has are skipped, and a gap in the ids fails the stream.
-    fn complete_events(&mut self) -> RelayStep {
+    fn complete_events(&mut self) -> ReadStep {
         let mut events = BytesMut::new();
         while let Some(event) = self.framing.next_event() {
-            self.silence_deadline = self.run.silence_deadline();
+            self.last_heard = Instant::now();
             if let (Some(id), Some(last)) = (event.id, self.last_event) {
                 if self.resumed && id <= last {
                     continue;
                 }
                 if self.resumed && id > last + 1 {
                     let why = format!("event {id} follows {last}");
-                    return RelayStep::Broken(BrokenAnswer::new(why));
+                    return ReadStep::Broken(BrokenAnswer::new(why));
                 }
             }
             self.last_event = event.id.or(self.last_event);
             events.extend_from_slice(&event.bytes);
         }
-        if events.is_empty() {
-            return RelayStep::More;
+        match events.is_empty() {
+            true => ReadStep::More,
+            false => ReadStep::Events(events.freeze()),
         }
-        // An upstream that crashes on a request does so as it begins the answer.
-        if self.has_events {
-            self.run.record_answer();
-        }
-        self.has_events = true;
-        self.trace.first_event();
-        RelayStep::Events(events.freeze())
-    }
-
-    fn finish(&mut self) {
-        if let Some((answer, permit)) = self.source.take() {
-            let took = self.request_started.elapsed().as_secs_f64() * 1000.0;
-            permit.record_success((!self.resumed).then_some(took));
-            self.run.record_answer();
-            answer.finish();
-        }
-        self.trace.end("served", "", self.run.count());
     }
 
-    /// Logs the end of a stream that isn't complete. A failure after its first event cuts the answer.
-    fn end_failed(&mut self, failure: &RequestFailure) {
-        let outcome = match self.trace.has_begun() {
-            true => "cut",
-            false => failure.outcome(),
+    /// Closes the connection of a stream that failed, which cancels the request at the upstream.
+    fn fail(&mut self, broken: BrokenAnswer) -> RelayStep {
+        let Some((answer, permit)) = self.source.take() else {
+            return RelayStep::Closed;
         };
-        self.trace.end(outcome, &failure.reason(), self.run.count());
-    }
-
-    async fn resume(&mut self, broken: BrokenAnswer) -> std::result::Result<(), RequestFailure> {
-        let (answer, permit) = self.source.take().ok_or(RequestFailure::Late)?;
-        // Closes the connection, which cancels the request at the upstream.
         drop(answer);
         permit.record_failure();
         let progress = match self.has_events {
@@ -168,21 +288,19 @@
             false => AnswerProgress::Head,
         };
         let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
-        let failed = failed.with_progress(progress);
-        drop(permit);
+        RelayStep::Failed(failed.with_progress(progress))
+    }
+
+    /// Closes the connection to an upstream that is left.
+    fn close(&mut self) {
+        self.source = None;
+    }
+
+    fn resume_from(&mut self, answer: OpenAnswer, permit: UpstreamPermit) {
+        self.source = Some((answer, permit));
         self.framing = EventFraming::new();
-        loop {
-            self.run.record_failure(failed.clone()).await?;
-            let (answer, permit) = self.run.open(self.last_event).await?;
-            if answer.status().is_success() {
-                self.resumed = true;
-                self.has_events = false;
-                self.trace
-                    .resumed(permit.upstream.as_str(), self.last_event);
-                self.source = Some((answer, permit));
-                self.silence_deadline = self.run.silence_deadline();
-                return Ok(());
-            }
-        }
+        self.last_heard = Instant::now();
+        self.has_events = false;
+        self.resumed = true;
     }
 }
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -268,6 +268,14 @@
         self.len() == 0
     }
 
+    /// Records a failure of an upstream that is still waited for.
+    pub fn record_failure(&self, upstream: &UpstreamId) {
+        let mut estimates = self.estimates.lock().expect("not poisoned");
+        if let Some(estimate) = estimates.get_mut(upstream) {
+            estimate.health.record_failure(steady_ms());
+        }
+    }
+
     fn forget_upstream(&self, upstream: &UpstreamId) {
         self.connection_pool.forget(upstream.as_str());
         let mut estimates = self.estimates.lock().expect("not poisoned");
