Bound callers' connections by the limits in force, one for each phase

What callers saw: a connection that was kept for less than the idle time in force was closed, as it had been accepted under a shorter one; a head that came slowly after an idle time was cut without an answer; a shutdown closed kept connections in the middle of a head; a head larger than the limit at the accept was refused with 431 though the configuration allowed it, and the other way round.

Cause: the limits were read when a connection was accepted, and max(idle time, time of a head) was given to hyper as its header_read_timeout. Its timer runs from the end of the answer before, also while the head comes in, and writes nothing when it fires. graceful_shutdown closes a kept connection that is idle to hyper, whose head may have begun.

Change: the time limits are kept around hyper's connection.

--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -26,9 +26,10 @@
 use crate::batch::shards::ShardAssignment;
 use crate::batch::worker::{BatchWorker, WorkerConfig};
 use crate::call::ProtocolCodecs;
+use crate::caller_link::ConnectionLimits;
 use crate::forward_run::ForwardContext;
 use crate::gateway::Gateway;
-use crate::listener::{self, ConnectionLimits};
+use crate::listener;
 use crate::log_access::{DurableLog, LogTopic, TopicPartition};
 use crate::member_name::MemberName;
 use crate::peer_state::{PEER_STATE_PATH, TopicCopies, copy_from_peers};
@@ -55,9 +56,12 @@
 /// Limits until the configuration is known, and of the internal listeners: those of an ordinary
 /// HTTP server.
 const DEFAULT_LIMITS: ConnectionLimits = ConnectionLimits {
-    head_bytes: 16 << 10,
+    head_bytes: 32 << 10,
     head_wait: Duration::from_secs(15),
+    idle_wait: Duration::from_secs(15),
 };
+/// Upper bound of a connection's time limits.
+const LONGEST_WAIT: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Tokens that are cancelled one after the other during shutdown.
 #[derive(Default)]
@@ -159,7 +163,7 @@
 
     let answering = gateway.clone();
     let limits = gateway.clone();
-    tokio::spawn(listener::serve(
+    connections.spawn(listener::serve(
         callers,
         move || connection_limits(&limits),
         move |call| {
@@ -386,7 +390,8 @@
         None => DEFAULT_LIMITS,
         Some(table) => ConnectionLimits {
             head_bytes: table.limits.header_bytes,
-            head_wait: Duration::from_millis(table.limits.idle_ms.max(table.limits.header_ms)),
+            head_wait: Duration::from_millis(table.limits.header_ms).min(LONGEST_WAIT),
+            idle_wait: Duration::from_millis(table.limits.idle_ms).min(LONGEST_WAIT),
         },
     }
 }
