Sum slots, counts and weights without overflow

What callers saw: two announcements with slots near 2^32, or counts of two members, overflow the sums of the slot allocator. Built with overflow checks this panics under the allocator's lock, after which every request that asks this instance for a slot fails; without checks the sums wrap and batch items are refused for ever. The weights of a route are summed in 32 bits alike, in the task of each of its requests.

Evidence: absurd_slots_and_counts_overflow_no_sum and weights_whose_sum_exceeds_32_bits_are_drawn_in_proportion failed before with 'attempt to add with overflow'.

Ruled out: placement by own estimates (placement.rs) works in floating point, and its costs are finite for any report.

Why this works: a sum of 32-bit numbers in 64 bits can't overflow for any number of rows that fits into memory.

--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -75,8 +75,12 @@
     /// Picks a group in proportion to the weights, by a random `draw` from 0 to 1. `None` if no
     /// group has a weight.
     pub fn pick_group(&self, draw: f64) -> Option<&UpstreamGroupId> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self
+            .shares
+            .iter()
+            .map(|share| f64::from(share.weight))
+            .sum();
+        let mut remaining = draw * total;
         let weighted = self.shares.iter().filter(|share| share.weight > 0);
         for share in weighted.clone() {
             remaining -= f64::from(share.weight);
--- a/crates/kernel/src/slot_allocator.rs
+++ b/crates/kernel/src/slot_allocator.rs
@@ -69,30 +69,30 @@
 /// Load of one upstream, from the counts of all instances and the unconfirmed grants.
 #[derive(Debug, Clone, Copy)]
 struct SlotLoad {
-    slots: u32,
-    online: u32,
-    batch: u32,
+    slots: u64,
+    online: u64,
+    batch: u64,
     service_ms: f64,
 }
 
 impl SlotLoad {
-    fn total(self) -> u32 {
+    fn total(self) -> u64 {
         self.online + self.batch
     }
 
     fn occupancy(self) -> f64 {
-        f64::from(self.total()) / f64::from(self.slots.max(1))
+        self.total() as f64 / self.slots.max(1) as f64
     }
 
     /// Expected wait of one more request for a free slot, in milliseconds.
     fn wait_ms(self) -> f64 {
         let waiting = (self.total() + 1).saturating_sub(self.slots);
-        f64::from(waiting) * self.service_ms / f64::from(self.slots.max(1))
+        waiting as f64 * self.service_ms / self.slots.max(1) as f64
     }
 
     /// Occupancy with one more request, weighted by the service time.
     fn cost(self) -> f64 {
-        f64::from(self.total() + 1) / f64::from(self.slots.max(1)) * self.service_ms
+        (self.total() + 1) as f64 / self.slots.max(1) as f64 * self.service_ms
     }
 }
 
@@ -189,21 +189,21 @@
             0 => DEFAULT_SERVICE_MS,
             _ => sum / f64::from(count),
         };
-        let mut totals: HashMap<&UpstreamId, (u32, u32)> = HashMap::new();
+        let mut totals: HashMap<&UpstreamId, (u64, u64)> = HashMap::new();
         for count in self.members.values().flat_map(|member| &member.counts.rows) {
             let (online, batch) = totals.entry(&count.upstream).or_default();
-            *online += count.online;
-            *batch += count.batch;
+            *online += u64::from(count.online);
+            *batch += u64::from(count.batch);
         }
         for grant in &self.grants {
             let (online, batch) = totals.entry(&grant.upstream).or_default();
-            *online += u32::from(!grant.batch);
-            *batch += u32::from(grant.batch);
+            *online += u64::from(!grant.batch);
+            *batch += u64::from(grant.batch);
         }
         let load = |row: &UpstreamSlots| {
             let (online, batch) = totals.get(&row.upstream).copied().unwrap_or_default();
             SlotLoad {
-                slots: row.slots,
+                slots: row.slots.into(),
                 online,
                 batch,
                 service_ms: self
@@ -232,7 +232,7 @@
         });
         PlacementReply::Granted {
             upstream: row.upstream.clone(),
-            load: f64::from(load.total()),
+            load: load.total() as f64,
         }
     }
 
@@ -291,14 +291,14 @@
 
 /// Chooses the least occupied upstream, up to `MAX_BATCH_OCCUPANCY`.
 fn choose_for_batch(loads: &[SlotLoad]) -> SlotChoice {
-    let slots: u32 = loads.iter().map(|load| load.slots).sum();
-    let taken: u32 = loads.iter().map(|load| load.total()).sum();
+    let slots: u64 = loads.iter().map(|load| load.slots).sum();
+    let taken: u64 = loads.iter().map(|load| load.total()).sum();
     let occupancy = |index: &usize| loads[*index].occupancy();
     let least = (0..loads.len()).min_by(|a, b| occupancy(a).total_cmp(&occupancy(b)));
     let Some(least) = least else {
         return SlotChoice::NoUpstream;
     };
-    let has_capacity = f64::from(taken + 1) <= (f64::from(slots) * MAX_BATCH_OCCUPANCY).max(1.0);
+    let has_capacity = (taken + 1) as f64 <= (slots as f64 * MAX_BATCH_OCCUPANCY).max(1.0);
     match has_capacity && loads[least].total() < loads[least].slots {
         true => SlotChoice::At(least),
         false => SlotChoice::Refused {
--- a/crates/kernel/tests/route_table.rs
+++ b/crates/kernel/tests/route_table.rs
@@ -93,3 +93,10 @@
         assert_eq!(kind.is_repeatable(), expected, "{kind:?}");
     }
 }
+
+#[test]
+fn weights_whose_sum_exceeds_32_bits_are_drawn_in_proportion() {
+    let route = route("split", "a", "/", &[("one", u32::MAX), ("two", u32::MAX)]);
+    let picked = [0.0, 0.49, 0.51, 0.99].map(|draw| route.pick_group(draw).unwrap().to_string());
+    assert_eq!(picked, ["one", "one", "two", "two"]);
+}
--- a/crates/kernel/tests/slot_allocator.rs
+++ b/crates/kernel/tests/slot_allocator.rs
@@ -278,3 +278,24 @@
         "independent {alone}, with an allocator {with_allocator}"
     );
 }
+
+#[test]
+fn absurd_slots_and_counts_overflow_no_sum() {
+    let mut absurd = rows(3);
+    for row in &mut absurd[..2] {
+        row.slots = u32::MAX;
+    }
+    let batch = request(99, 0, PlacementDemand::Batch);
+    let (reply, _) = SlotAllocator::new().allocate(&absurd, &batch, 0, &mut rng());
+    assert!(matches!(reply, PlacementReply::Granted { .. }), "{reply:?}");
+    let mut allocator = SlotAllocator::new();
+    for member in 0..2 {
+        let row = count(0, u32::MAX, u32::MAX);
+        allocator.record_counts(member.to_string(), u64::MAX, counts(vec![row]), 0);
+    }
+    let online = request(99, u64::MAX, ONLINE);
+    let (reply, _) = allocator.allocate(&rows(2), &online, 0, &mut rng());
+    assert!(matches!(reply, PlacementReply::Granted { upstream, .. } if upstream == id(1)));
+    let (reply, _) = allocator.allocate(&rows(2), &batch, 0, &mut rng());
+    assert!(matches!(reply, PlacementReply::Refused { .. }), "{reply:?}");
+}
