Bound what a record of the batch topic can claim

What callers saw: the key of a record names how many pieces its entry has, and a replica reserved room for that many before it had any. A key that names 2^64 - 1 pieces panics under the replica's lock, in every build; one that names 10^12 asks for more memory than there is, which aborts the process. As the record stays on the log, the process does so again after each start, at every instance. A reported load, an offset and a blob's size could overflow alike where overflow is checked.

Why this works: an entry of 4,096 pieces of 256 KB is far beyond what an append takes, and nothing is reserved by a size that a record only claims.

--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -155,7 +155,8 @@
     }
 
     async fn read_by_offset(&self, blob: &BlobRef) -> Result<Bytes> {
-        let max_bytes = blob.bytes + (RECORD_OVERHEAD as u64) * u64::from(blob.records);
+        let overhead = (RECORD_OVERHEAD as u64) * u64::from(blob.records);
+        let max_bytes = blob.bytes.saturating_add(overhead);
         let read = LogRead::new(partition_of(blob), blob.offset).with_max_bytes(max_bytes);
         let slice = (self.log.read)(read).await?;
         match assemble(blob, slice.entries.into_iter()) {
@@ -213,7 +214,7 @@
 fn assemble(blob: &BlobRef, entries: impl Iterator<Item = LogEntry>) -> Option<Bytes> {
     let entries = entries.filter_map(|entry| Some((entry.key, entry.value?)));
     let mut records: HashMap<String, Bytes> = entries.collect();
-    let mut buffer = Vec::with_capacity(blob.bytes as usize);
+    let mut buffer = Vec::new();
     for index in 0..blob.records {
         buffer.extend_from_slice(&records.remove(&blob.record_key(index))?);
     }
--- a/crates/serve/src/batch/job_reader.rs
+++ b/crates/serve/src/batch/job_reader.rs
@@ -180,7 +180,8 @@
     let mut bytes = 0;
     let mut ends: Vec<(ItemId, ItemEnd)> = Vec::new();
     for (item, end) in job.ends_from(after) {
-        bytes += RESULT_OVERHEAD + output_bytes(end);
+        let result_bytes = output_bytes(end).saturating_add(RESULT_OVERHEAD);
+        bytes = result_bytes.saturating_add(bytes);
         if bytes > max_bytes && !ends.is_empty() {
             break;
         }
@@ -197,7 +198,7 @@
 /// Upper bound of an output's bytes in an answer: escaped line feeds and quotes take two each.
 fn output_bytes(end: &ItemEnd) -> usize {
     match end {
-        ItemEnd::Succeeded(blob) => 2 * blob.bytes as usize,
+        ItemEnd::Succeeded(blob) => blob.bytes.saturating_mul(2) as usize,
         ItemEnd::Errored => 0,
     }
 }
--- a/crates/serve/src/batch/pieces.rs
+++ b/crates/serve/src/batch/pieces.rs
@@ -13,6 +13,8 @@
 
 /// Most bytes of a record's key.
 const MAX_KEY_BYTES: usize = 255;
+/// Most pieces of an entry that are accepted, so that a key alone can't claim much memory.
+const MAX_PIECES: usize = 4_096;
 
 /// Splits an entry into records under a new random key.
 pub fn split(entry: &BatchEntry, job: &JobId, entry_bytes: usize) -> Vec<NewEntry> {
@@ -115,6 +117,9 @@
         if key.count == 1 {
             return decode(&value, record.offset);
         }
+        if key.index >= key.count || key.count > MAX_PIECES {
+            return AssemblyResult::Malformed(format!("key {:?}", record.key));
+        }
         let (index, entry) = (key.index, key.entry.to_owned());
         let partial = self
             .partial
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -324,7 +324,7 @@
 
     /// Records the load that the upstream reported.
     pub fn record_load(&self, report: LoadReport) {
-        let total = report.running + report.waiting;
+        let total = report.running.saturating_add(report.waiting);
         self.update(|estimate| estimate.record_report(total, steady_ms()));
     }
 
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -201,6 +201,6 @@
 impl LogOffset {
     /// Returns the offset that follows this one.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
