Contain panics in calls, updates, datagrams, appends, items and tasks

What callers saw: a call that panics got no answer and its connection was closed. A panic in a background task (a follower, the allocator's receiver, an append loop, the worker) ended that task for good while the process went on: its topic was no longer followed, its datagrams no longer read, its appends never answered. A panic in an item's task left the item counted as running, so it was not started again.

Cause: nothing stood between a panic and the task it happens in.

Change: a call that panics is answered 502, as it may have run, and its connection serves the next one; a stream that panics breaks off without its end. A panic while an update is applied makes the follower read the topic anew; one in a datagram, an append or an item ends just that. Any other background task that panics stops the instance in the planned way, with exit code 1, so that its supervisor starts it anew. A replica of jobs that panics while it applies entries is not loaded: an instance that lacks a job must not say that there is none. Each is logged: call_panicked, update_panicked, datagram_panicked, append_panicked, item_panicked, task_panicked.

Not shown by a test: the exit of a whole process after a panic in its task, and the containment of items and appends.

--- a/crates/serve/src/batch/commit.rs
+++ b/crates/serve/src/batch/commit.rs
@@ -17,6 +17,7 @@
 
 use crate::batch::pieces;
 use crate::log_access::{DurableLog, LogError, NewEntry, TopicPartition};
+use crate::panic_guard::contain_async;
 
 /// Most entries that wait for an append; more means that the log can't be reached.
 const MAX_QUEUED_ENTRIES: usize = 4_096;
@@ -85,7 +86,7 @@
             false => &self.batched,
         };
         queue.try_send(queued).map_err(full)?;
-        let ended = |_| LogError::Unknown("instance is shutting down".to_owned());
+        let ended = |_| LogError::Unknown("the append was given up".to_owned());
         outcome.await.map_err(ended)?
     }
 }
@@ -155,18 +156,24 @@
 impl AppendLoop {
     async fn run(mut self) {
         while let Some(first) = self.next_entry().await {
-            let group = self.collect_group(first).await;
-            self.last_append = Some(Instant::now());
-            let outcome =
-                append_hedged(&self.log, self.target, group.records, &mut self.policy).await;
-            for (index, done) in group.waiting {
-                let offset = outcome.clone().map(|first| LogOffset(first.0 + index));
-                // The receiver may have been dropped.
-                let _ = done.send(offset);
+            if let Err(why) = contain_async(self.append_group(first)).await {
+                log::error!("event=append_panicked target={} why={why:?}", self.target);
             }
         }
     }
 
+    async fn append_group(&mut self, first: QueuedEntry) {
+        let group = self.collect_group(first).await;
+        self.last_append = Some(Instant::now());
+        let outcome = append_hedged(&self.log, self.target, group.records, &mut self.policy).await;
+        for (index, done) in group.waiting {
+            let offset = outcome.clone();
+            let offset = offset.map(|first| LogOffset(first.0.saturating_add(index)));
+            // The receiver may have been dropped.
+            let _ = done.send(offset);
+        }
+    }
+
     async fn next_entry(&mut self) -> Option<QueuedEntry> {
         match self.deferred.take() {
             Some(deferred) => Some(deferred),
--- a/crates/serve/src/batch/replica.rs
+++ b/crates/serve/src/batch/replica.rs
@@ -194,11 +194,12 @@
     pub fn apply(&self, update: TopicUpdate, next: Option<LogOffset>, sent: Instant) {
         let mut inner = self.inner.lock().expect("not poisoned");
         let replaced = matches!(update, TopicUpdate::Replace(_));
+        // A panic below leaves the replica unloaded: it may lack entries.
+        let was_loaded = std::mem::take(&mut inner.loaded);
         let entries = match update {
             TopicUpdate::Replace(entries) => {
                 let progress = inner.progress.take();
                 *inner = ReplicaState::default();
-                inner.loaded = true;
                 inner.progress = progress;
                 entries
             }
@@ -214,6 +215,7 @@
         }
         inner.next = inner.next.max(next.unwrap_or_default());
         inner.read_sent = Some(sent);
+        inner.loaded = was_loaded || replaced;
         drop(inner);
         if changed {
             self.changed.send_modify(|version| *version += 1);
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -22,6 +22,7 @@
 use crate::batch::replica::JobReplica;
 use crate::batch::shards::ShardAssignment;
 use crate::log_access::NewEntry;
+use crate::panic_guard::contain_async;
 
 /// Longest time between two scans for items to start.
 const SCAN_PERIOD: Duration = Duration::from_millis(500);
@@ -191,7 +192,8 @@
         let (committer, replica) = (self.writer.committer.clone(), self.replica.clone());
         let blobs = self.writer.blobs.clone();
         let (running, stop) = (self.running.clone(), stop.clone());
-        self.tasks.spawn(async move {
+        let (job, name) = (id.clone(), item.clone());
+        let run = async move {
             match stop
                 .run_until_cancelled(cancel.run_until_cancelled(run.run()))
                 .await
@@ -208,7 +210,12 @@
                     cancel.run_until_cancelled(finish).await;
                 }
             }
-            remove_run(&running, &id, &item);
+        };
+        self.tasks.spawn(async move {
+            if let Err(why) = contain_async(run).await {
+                log::error!("event=item_panicked job={job} item={name} why={why:?}");
+            }
+            remove_run(&running, &job, &name);
         });
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log_access;
 pub mod member_name;
 pub mod online;
+pub mod panic_guard;
 pub mod peer_state;
 pub mod placement_service;
 pub mod process;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -18,7 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::answer::Answer;
-use crate::socket;
+use crate::{panic_guard, socket};
 
 /// Limit on connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -102,7 +102,7 @@
         let (answer, count) = (answer.clone(), counted.clone());
         async move {
             count.received.fetch_add(1, Ordering::Relaxed);
-            let answer = answer(call).await;
+            let answer = panic_guard::contain_call(caller, async { answer(call).await }).await;
             count.answered.fetch_add(1, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
         }
--- a/crates/serve/src/log_access.rs
+++ b/crates/serve/src/log_access.rs
@@ -16,6 +16,8 @@
     Unknown(String),
     /// The requested entries have been deleted from the log.
     Trimmed,
+    /// The entries were read, but applying them panicked; holds the panic's message.
+    NotApplied(String),
 }
 
 impl fmt::Display for LogError {
@@ -23,6 +25,7 @@
         match self {
             Self::NotDone(why) => write!(f, "not done: {why}"),
             Self::Unknown(why) => write!(f, "outcome unknown: {why}"),
+            Self::NotApplied(why) => write!(f, "read, but not applied: {why}"),
             Self::Trimmed => f.write_str("the requested entries have been deleted"),
         }
     }
--- a/crates/serve/src/placement_service.rs
+++ b/crates/serve/src/placement_service.rs
@@ -24,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::member_name::MemberName;
+use crate::panic_guard::contain_async;
 use crate::quarantine_service;
 use crate::upstream_pool::{PoolStep, UpstreamPool};
 
@@ -350,7 +351,12 @@
             loop {
                 match self.socket.recv_from(&mut buffer).await {
                     Ok((length, from)) => match PlacementMessage::decode(&buffer[..length]) {
-                        Ok(message) => self.handle_message(message, from).await,
+                        Ok(message) => {
+                            let handled = contain_async(self.handle_message(message, from)).await;
+                            if let Err(why) = handled {
+                                log::error!("event=datagram_panicked from={from} why={why:?}");
+                            }
+                        }
                         Err(e) => log::warn!(
                             "event=datagram_malformed from={from} error={:?}",
                             e.to_string()
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -1,5 +1,6 @@
 //! Starts an instance, runs it until a signal, and shuts it down gracefully.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use crate::listener::{self, ConnectionLimits};
 use crate::log_access::{DurableLog, LogTopic, TopicPartition};
 use crate::member_name::MemberName;
+use crate::panic_guard::TaskGuard;
 use crate::peer_state::{PEER_STATE_PATH, TopicCopies, copy_from_peers};
 use crate::placement_service::{PlacementService, ReceivedNotice};
 use crate::quarantine_service::{self, QuarantineService};
@@ -136,7 +138,7 @@
     );
     let stops = StopTokens::default();
     let connections = TaskTracker::new();
-    let background = TaskTracker::new();
+    let background = TaskGuard::new();
     let pool = Arc::new(UpstreamPool::new(config.data_centre.clone()));
     let (quarantine_sender, quarantine_inbox) = quarantine_service::inbox();
     let placement = PlacementService::open(pool, member_name(&config), quarantine_sender);
@@ -159,30 +161,34 @@
 
     let answering = gateway.clone();
     let limits = gateway.clone();
-    tokio::spawn(listener::serve(
-        callers,
-        move || connection_limits(&limits),
-        move |call| {
-            let gateway = answering.clone();
-            async move { gateway.answer(call).await }
-        },
-        connections.clone(),
-        stops.accept.clone(),
-    ));
-    tokio::spawn(serve_probes(
-        probes,
-        gateway.clone(),
-        config.clone(),
-        stops.work.clone(),
-    ));
+    background.spawn(
+        "callers",
+        listener::serve(
+            callers,
+            move || connection_limits(&limits),
+            move |call| {
+                let gateway = answering.clone();
+                async move { gateway.answer(call).await }
+            },
+            connections.clone(),
+            stops.accept.clone(),
+        ),
+    );
+    background.spawn(
+        "probes",
+        serve_probes(probes, gateway.clone(), config.clone(), stops.work.clone()),
+    );
     let peers = gateway.forward.placement.clone();
-    tokio::spawn(serve_control(control, peers, copies, stops.work.clone()));
-    tokio::spawn(sweep_connections(gateway.forward.placement.pool.clone()));
+    let controls = serve_control(control, peers, copies, stops.work.clone());
+    background.spawn("control", controls);
+    let sweep = sweep_connections(gateway.forward.placement.pool.clone(), stops.work.clone());
+    background.spawn("sweep", sweep);
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            () = background.panicked.cancelled() => break,
             _ = hangup.recv() => reload(ReloadCause::Signal),
             () = sleep(RELOAD_POLL_PERIOD) => reload(ReloadCause::Poll),
         }
@@ -192,8 +198,11 @@
         config.instance,
         started.elapsed().as_secs()
     );
-    shut_down(&config, &gateway, stops, connections, background).await;
-    Ok(())
+    shut_down(&config, &gateway, stops, connections, &background.tasks).await;
+    match background.panicked.is_cancelled() {
+        true => Err(io::Error::other("a background task panicked")),
+        false => Ok(()),
+    }
 }
 
 async fn shut_down(
@@ -201,7 +210,7 @@
     gateway: &Gateway,
     stops: StopTokens,
     connections: TaskTracker,
-    background: TaskTracker,
+    background: &TaskTracker,
 ) {
     let stop_started = Instant::now();
     gateway.set_leaving();
@@ -259,7 +268,7 @@
     log: Arc<DurableLog>,
     codecs: ProtocolCodecs,
     stops: &StopTokens,
-    background: &TaskTracker,
+    background: &TaskGuard,
 ) -> Arc<Gateway> {
     let work = &stops.work;
     let PeerLinks {
@@ -281,13 +290,16 @@
     let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
     let (quarantine, queues) = QuarantineService::new(quarantine_inbox);
     let rule_committer = member_committer(&log, LogTopic::Quarantine, 1, &shards, work);
-    background.spawn(quarantine_task::run(
-        quarantine.clone(),
-        queues,
-        placement.clone(),
-        rule_committer,
-        work.clone(),
-    ));
+    background.spawn(
+        "quarantine",
+        quarantine_task::run(
+            quarantine.clone(),
+            queues,
+            placement.clone(),
+            rule_committer,
+            work.clone(),
+        ),
+    );
     let followers = [
         topic_apply::follow_quarantine(quarantine.clone(), copies.clone()),
         topic_apply::follow_configuration(routes.clone(), copies.clone(), codecs),
@@ -302,13 +314,15 @@
         codecs,
     );
     let seeds = config.seeds.clone();
-    background.spawn(copy_from_peers(seeds, copies, sink, work.clone()));
+    let copying = copy_from_peers(seeds, copies, sink, work.clone());
+    background.spawn("peer_state", copying);
     for follower in followers {
-        background.spawn(follower.run(log.clone(), work.clone()));
+        background.spawn("follower", follower.run(log.clone(), work.clone()));
     }
-    background.spawn(shards.clone().run(log.clone(), work.clone()));
-    background.spawn(placement.clone().receive(work.clone()));
-    background.spawn(placement.clone().report_counts(work.clone()));
+    background.spawn("shards", shards.clone().run(log.clone(), work.clone()));
+    background.spawn("placement", placement.clone().receive(work.clone()));
+    let reports = placement.clone().report_counts(work.clone());
+    background.spawn("counts", reports);
     let item_context = ItemContext {
         placement: placement.clone(),
         codec: codecs.upstream,
@@ -335,7 +349,7 @@
         Arc::new(item_context),
         worker_config,
     );
-    background.spawn(worker.run(stops.items.clone()));
+    background.spawn("worker", worker.run(stops.items.clone()));
     let forward = Arc::new(ForwardContext::new(placement, codecs.upstream, quarantine));
     let intake = JobIntake {
         replica: replica.clone(),
@@ -446,9 +460,9 @@
     .await;
 }
 
-async fn sweep_connections(pool: Arc<UpstreamPool>) {
-    loop {
-        sleep(IDLE_SWEEP_PERIOD).await;
+async fn sweep_connections(pool: Arc<UpstreamPool>, stop: CancellationToken) {
+    let wait = || stop.run_until_cancelled(sleep(IDLE_SWEEP_PERIOD));
+    while wait().await.is_some() {
         pool.connection_pool.sweep();
     }
 }
--- a/crates/serve/src/topic_follower.rs
+++ b/crates/serve/src/topic_follower.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::log_access::{DurableLog, LogEntry, LogError, LogRead, LogTopic};
+use crate::panic_guard::contain;
 
 /// Delay after the first failed read; it doubles with each failure, up to eight times the value.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -71,6 +72,9 @@
                     next = None;
                 }
                 Err(e) => {
+                    if matches!(e, LogError::NotApplied(_)) {
+                        next = None;
+                    }
                     self.log_dependency_lost(failures, &e);
                     sleep(RETRY_DELAY * (1 << failures.min(MAX_DOUBLINGS))).await;
                     failures += 1;
@@ -98,11 +102,23 @@
         }
     }
 
+    /// Applies an update. After a panic the state may lack a part of it, so the topic is read anew.
+    fn apply_contained(
+        &mut self,
+        update: TopicUpdate,
+        sent: Instant,
+    ) -> crate::log_access::Result<()> {
+        contain(|| (self.apply)(update, sent)).map_err(|why| {
+            log::error!("event=update_panicked topic={} why={why:?}", self.topic);
+            LogError::NotApplied(why)
+        })
+    }
+
     async fn read_newest(&mut self, log: &DurableLog) -> crate::log_access::Result<LogOffset> {
         let sent = Instant::now();
         let mut slice = (log.newest)(self.topic).await?;
         slice.entries.sort_by_key(|entry| entry.offset);
-        (self.apply)(TopicUpdate::Replace(slice.entries), sent);
+        self.apply_contained(TopicUpdate::Replace(slice.entries), sent)?;
         Ok(slice.next)
     }
 
@@ -114,7 +130,7 @@
         let sent = Instant::now();
         let slice = (log.read)(LogRead::new(self.topic, from).with_wait(self.read_wait)).await?;
         let has_entries = !slice.entries.is_empty();
-        (self.apply)(TopicUpdate::Append(slice.entries), sent);
+        self.apply_contained(TopicUpdate::Append(slice.entries), sent)?;
         if has_entries {
             sleep(self.min_period.saturating_sub(sent.elapsed())).await;
         }
