--- a/crates/serve/src/caller_link.rs
+++ b/crates/serve/src/caller_link.rs
@@ -24,7 +24,7 @@
 use crate::caller_stream::{
     CallerStream, GuardedBody, LinkPhase, PhaseClock, PhaseStart, has_head_byte,
 };
-use crate::socket;
+use crate::{panic_guard, socket};
 
 /// Size of a head up to which a raised limit holds on connections that are already open, in bytes.
 const HEAD_CAPACITY: usize = 256 << 10;
@@ -77,6 +77,7 @@
         return;
     }
     let calls = Arc::new(LinkCalls {
+        caller,
         answer,
         limits: limits.clone(),
         clock: PhaseClock::new(),
@@ -143,6 +144,7 @@
 
 /// What the calls of one connection share.
 struct LinkCalls<F, L> {
+    caller: SocketAddr,
     answer: F,
     limits: L,
     clock: PhaseClock,
@@ -162,7 +164,9 @@
         let guard = self.clock.begin_call();
         let mut answer = match head_bytes(&call) > (self.limits)().head_bytes {
             true => refuse_head(&call),
-            false => (self.answer)(call).await,
+            false => {
+                panic_guard::contain_call(self.caller, async { (self.answer)(call).await }).await
+            }
         };
         if self.stop.is_cancelled() {
             let close = HeaderValue::from_static("close");
