Resume silent streams of the own interface when no retry is left

The same cause on the own interface: a stream that was silent twice in a row was ended with an error when the retry budget or the attempts were used up, though its engine still had it. It is now resumed at that engine, after a delay, until its deadline. The new test failed before with GiveUp(UpstreamFailed, Unknown); a stream that the engine doesn't know is still given up. Not changed: an unstreamed answer of a request that may be retried is still left after half of its time.

--- a/crates/entry/src/request_run.rs
+++ b/crates/entry/src/request_run.rs
@@ -132,14 +132,16 @@
             let end = match step {
                 NextStep::Abandon => return RequestEnd::CallerGone,
                 NextStep::GiveUp(kind, ran) => return RequestEnd::Failed(kind, ran),
-                NextStep::Resume => self.resume().await,
+                NextStep::Resume { delay_ms } => match self.back_off(delay_ms).await {
+                    Some(()) => self.resume().await,
+                    None => return RequestEnd::CallerGone,
+                },
                 NextStep::Retry { delay_ms } => {
                     self.cancel_current();
-                    let delay = sleep(Duration::from_millis(delay_ms));
-                    if delay_ms > 0 && self.caller.wait(delay).await.is_none() {
-                        return RequestEnd::CallerGone;
+                    match self.back_off(delay_ms).await {
+                        Some(()) => self.attempt().await,
+                        None => return RequestEnd::CallerGone,
                     }
-                    self.attempt().await
                 }
             };
             let failure = match end {
@@ -159,6 +161,18 @@
         }
     }
 
+    /// Waits before a call to an upstream; `None` if the caller disconnects meanwhile.
+    async fn back_off(&mut self, delay_ms: u64) -> Option<()> {
+        match delay_ms {
+            0 => Some(()),
+            _ => {
+                self.caller
+                    .wait(sleep(Duration::from_millis(delay_ms)))
+                    .await
+            }
+        }
+    }
+
     /// Sends the caller an error on failure, cancels unfinished work at the upstream, and records
     /// the outcome.
     async fn finish(&mut self, end: RequestEnd) {
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -115,7 +115,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextStep {
     /// Resume the stream at the same upstream after the last token.
-    Resume,
+    Resume {
+        /// Backoff before the call, in milliseconds.
+        delay_ms: u64,
+    },
     /// Attempt the request at another upstream.
     Retry {
         /// Backoff before the attempt, in milliseconds.
@@ -153,20 +156,25 @@
         return deadline_error(progress);
     }
     if can_resume(progress, failure) {
-        return NextStep::Resume;
+        return NextStep::Resume { delay_ms: 0 };
     }
     if progress.may_have_run && !progress.repeatable {
         return NextStep::GiveUp(ErrorKind::UpstreamFailed, RanState::Unknown);
     }
-    if progress.attempts >= MAX_ATTEMPTS {
-        return NextStep::GiveUp(ErrorKind::UpstreamFailed, progress.ran());
-    }
     let delay_ms = backoff_ms(progress.attempts, rng);
     if now_ms + delay_ms >= progress.deadline_ms {
         return deadline_error(progress);
     }
-    match budget.take_retry() {
-        true => NextStep::Retry { delay_ms },
+    if progress.attempts < MAX_ATTEMPTS && budget.take_retry() {
+        return NextStep::Retry { delay_ms };
+    }
+    // A silent upstream may go on; without another one it is the only one that can.
+    match progress.resumable && failure == AttemptFailure::Broken {
+        true => NextStep::Resume {
+            delay_ms: delay_ms
+                .max(BACKOFF_BASE_MS)
+                .min(progress.deadline_ms - now_ms - 1),
+        },
         false => NextStep::GiveUp(ErrorKind::UpstreamFailed, progress.ran()),
     }
 }
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -50,8 +50,9 @@
             progress.caller_connected = gone > 0;
             now += took;
             match next_step(&progress, failure, now, &mut budget, &mut rng) {
-                NextStep::Resume => {
-                    prop_assert!(progress.caller_connected && now < deadline && resumable);
+                NextStep::Resume { delay_ms } => {
+                    prop_assert!(progress.caller_connected && resumable);
+                    prop_assert!(now + delay_ms < deadline, "a resume after the deadline");
                     progress.attempts -= 1;
                     progress.resumes_without_token += 1;
                     sent -= u32::from(ran);
@@ -95,3 +96,43 @@
         prop_assert!(backoff_ms(attempts, &mut rng) <= 1_000);
     }
 }
+
+/// A stream whose upstream pauses is not given up for want of retries; one that the upstream doesn't
+/// know is.
+#[test]
+fn paused_streams_are_resumed_when_no_retry_is_left() {
+    let mut rng = StdRng::seed_from_u64(33);
+    let mut empty = RetryBudget::new();
+    while empty.take_retry() {}
+    let cases = [
+        (1, empty.clone(), AttemptFailure::Broken, true, true),
+        (
+            MAX_ATTEMPTS,
+            RetryBudget::new(),
+            AttemptFailure::Broken,
+            true,
+            true,
+        ),
+        (1, empty.clone(), AttemptFailure::Broken, false, false),
+        (1, empty.clone(), AttemptFailure::StreamUnknown, true, false),
+        (1, empty, AttemptFailure::NotRun, true, false),
+    ];
+    for (attempts, mut budget, failure, resumable, resumes) in cases {
+        let mut progress = RequestProgress::new(true, 10_000);
+        progress.attempts = attempts;
+        progress.resumable = resumable;
+        progress.may_have_run = true;
+        progress.resumes_without_token = 1;
+        let step = next_step(&progress, failure, 5_000, &mut budget, &mut rng);
+        let resumed = matches!(step, NextStep::Resume { delay_ms } if delay_ms > 0);
+        assert_eq!(
+            resumed, resumes,
+            "{attempts} {failure:?} {resumable}: {step:?}"
+        );
+        let is_given_up = matches!(step, NextStep::GiveUp(..));
+        assert_eq!(
+            is_given_up, !resumes,
+            "{attempts} {failure:?} {resumable}: {step:?}"
+        );
+    }
+}
