--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -268,6 +268,14 @@
         self.len() == 0
     }
 
+    /// Records a failure of an upstream that is still waited for.
+    pub fn record_failure(&self, upstream: &UpstreamId) {
+        let mut estimates = self.estimates.lock().expect("not poisoned");
+        if let Some(estimate) = estimates.get_mut(upstream) {
+            estimate.health.record_failure(steady_ms());
+        }
+    }
+
     fn forget_upstream(&self, upstream: &UpstreamId) {
         self.connection_pool.forget(upstream.as_str());
         let mut estimates = self.estimates.lock().expect("not poisoned");
@@ -324,7 +332,7 @@
 
     /// Records the load that the upstream reported.
     pub fn record_load(&self, report: LoadReport) {
-        let total = report.running + report.waiting;
+        let total = report.running.saturating_add(report.waiting);
         self.update(|estimate| estimate.record_report(total, steady_ms()));
     }
 
