Believe a refusal only if it belongs to its request

It happens here.

Cause: check_answer believed the statement "not run", the status 421 and the reported load before it compared the answer's request id, and kept the connection. The next answer on it was then the foreign one.

An answer now proves something only if it names its request; a refusal without an id only as the first answer on its connection, where no earlier request can own it. Everything else may have run, ends the connection, and its load is ignored. A refusal keeps its connection only if a copy of it could be told apart: not without an id, after a 421 (no request on that connection can succeed), or for items, which return with the same id. Reading a refusal's body has a time limit.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,7 @@
 //! opens a socket or starts a thread.
 
 pub mod admission_queue;
+pub mod answer_match;
 pub mod attempt_plan;
 pub mod batch_capacity;
 pub mod batch_slot_allocator;
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -3,14 +3,16 @@
 
 use std::time::Duration;
 
+use amaranth_kernel::answer_match::{AnswerName, AnswerProof, AnswerStatement, prove};
 use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause, FailureProof};
+use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{PromptPartId, RequestId, UpstreamId};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::call::{AttemptMetadata, UpstreamCodec};
+use crate::call::{AnswerMetadata, AttemptMetadata, UpstreamCodec};
 use crate::connection_pool::{OpenAnswer, SendError};
 use crate::upstream_pool::{UpstreamPermit, UpstreamPool};
 
@@ -41,6 +43,9 @@
     pub shared_parts: Vec<PromptPartId>,
     /// Complete body.
     pub body: Bytes,
+    /// Whether it may be sent again to an upstream that refused it. A second copy of the refusal would
+    /// have its id, so the refusal's connection is closed.
+    pub may_return: bool,
 }
 
 /// Outcome of an attempt, up to the head of the answer.
@@ -237,6 +242,8 @@
     outgoing
 }
 
+/// Decides what the answer proves about the request. An answer that may belong to another request is
+/// dropped with its connection, and nothing in it is believed.
 fn check_answer(
     codec: &UpstreamCodec,
     permit: UpstreamPermit,
@@ -244,26 +251,55 @@
     answer: OpenAnswer,
 ) -> AttemptEnd {
     let metadata = (codec.read_answer)(answer.status(), answer.headers());
+    let name = AnswerName::new(metadata.request.as_deref(), request.id.as_str());
+    let proof = prove(name, statement(&metadata), answer.connection_use());
     let upstream = permit.upstream.clone();
-    if let Some(report) = metadata.load {
+    let status = answer.status().as_u16();
+    if let (AnswerProof::Outcome | AnswerProof::Refused, Some(report)) = (proof, metadata.load) {
         permit.record_load(report);
     }
-    if metadata.not_run || metadata.wrong_upstream {
-        if metadata.wrong_upstream {
+    match proof {
+        AnswerProof::Outcome => AttemptEnd::Answer(Box::new(answer), permit),
+        AnswerProof::Refused => {
+            // A copy of this refusal must not be taken for one of a later request.
+            if name == AnswerName::Own && !request.may_return {
+                tokio::spawn(read_refusal(answer));
+            }
+            let why = format!("refused with {status}");
+            AttemptEnd::Failed(FailedAttempt::not_run(upstream, why))
+        }
+        AnswerProof::Misdirected => {
             permit.record_failure();
+            let why = format!("refused with {status}");
+            AttemptEnd::Failed(FailedAttempt::not_run(upstream, why))
+        }
+        AnswerProof::Nothing => {
+            permit.record_failure();
+            let why = format!("answer {status} is for request {:?}", metadata.request);
+            AttemptEnd::Failed(FailedAttempt::may_have_run(upstream, why))
         }
-        let why = format!("refused with {}", answer.status().as_u16());
-        // The body of a refusal is short: reading it makes the connection reusable.
-        tokio::spawn(answer.read_all(MAX_REFUSAL_BYTES));
-        return AttemptEnd::Failed(FailedAttempt::not_run(upstream, why));
     }
-    if metadata.request.as_deref() != Some(request.id.as_str()) {
-        permit.record_failure();
-        let why = format!("the answer is for request {:?}", metadata.request);
-        return AttemptEnd::Failed(FailedAttempt::may_have_run(upstream, why));
+}
+
+fn statement(metadata: &AnswerMetadata) -> AnswerStatement {
+    match (metadata.wrong_upstream, metadata.not_run) {
+        (true, _) => AnswerStatement::Misdirected,
+        (false, true) => AnswerStatement::Refused,
+        (false, false) => AnswerStatement::Outcome,
     }
-    AttemptEnd::Answer(Box::new(answer), permit)
+}
+
+async fn read_refusal(answer: OpenAnswer) {
+    let read = timeout(REFUSAL_TIMEOUT, answer.read_all(MAX_REFUSAL_BYTES)).await;
+    let why = match read {
+        Ok(Ok(_)) => return,
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => "its body was not complete in time".to_owned(),
+    };
+    log::debug!("event=refusal_not_read why={}", quote(&why));
 }
 
 /// Largest body of a refusal that is read, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Time limit on reading the body of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -474,6 +474,7 @@
             shared_parts: (self.context.codec.read_shared_parts)(&headers),
             headers,
             body: Bytes::from(input.body.to_vec()),
+            may_return: true,
         })
     }
 
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranth_kernel::answer_match::ConnectionUse::{self, Fresh, Reused};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response};
@@ -134,6 +135,7 @@
     response: Response<Incoming>,
     key: ConnectionKey,
     connection: OpenConnection,
+    connection_use: ConnectionUse,
     pool: Arc<ConnectionPool>,
 }
 
@@ -153,7 +155,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(&key) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(key, connection, response)),
+                Ok(response) => return Ok(self.answer(key, connection, Reused, response)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::from(e.error())),
@@ -163,7 +165,7 @@
         let mut connection = open(key.address).await?;
         metrics::counter!("connections_opened_total").increment(1);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(key, connection, response)),
+            Ok(response) => Ok(self.answer(key, connection, Fresh, response)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Unsent(e.error().to_string())),
                 None => Err(SendError::from(e.error())),
@@ -203,12 +205,14 @@
         self: &Arc<Self>,
         key: ConnectionKey,
         connection: OpenConnection,
+        connection_use: ConnectionUse,
         response: Response<Incoming>,
     ) -> OpenAnswer {
         OpenAnswer {
             response,
             key,
             connection,
+            connection_use,
             pool: self.clone(),
         }
     }
@@ -274,6 +278,11 @@
         self.response.headers()
     }
 
+    /// Whether the answer's connection was used by other requests before.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
+    }
+
     /// Whether the body has a length or chunks. Otherwise it ends with its connection, whether it is
     /// complete or not.
     pub fn is_framed(&self) -> bool {
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -166,6 +166,7 @@
             shared_parts: (self.forward.codec.read_shared_parts)(&parts.headers),
             headers: parts.headers,
             body,
+            may_return: false,
         };
         strip_connection_headers(&mut request.headers);
         request.headers.remove(CONTENT_LENGTH);
