Relay only events that follow, under the head of their own upstream

Cause: after a resumption only ids that were too high failed the stream. An event without an id was relayed, whatever it was; an empty success was the end of the stream; the answer's type was not looked at. The head came from the first upstream even if another one sent all events. An event that failed the stream dropped the events before it from the same packet, which counted as sent. An item whose resumed run brought no event succeeded with half its text.

Now every event must have the id after the last one, on the first upstream, too; a resumed stream may begin with events that the caller has, and must bring a new one. The head is taken when the first events are relayed. Events before a failure are relayed first. An item whose resumed run brings no event starts from the beginning, as only a whole run proves its output.

Ruled out: an error status and a gap after a resumption, which failed the stream before. Still open: an early but proper end after an event, an end without length between two events, and other text under the next id can't be told from the rest of the stream.

--- a/crates/kernel/src/event_framing.rs
+++ b/crates/kernel/src/event_framing.rs
@@ -21,6 +21,13 @@
         let lines = text.lines().filter_map(|line| field_value(line, "data"));
         lines.collect::<Vec<_>>().join("\n")
     }
+
+    /// Whether all lines are comments.
+    pub fn is_comment(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.bytes);
+        text.lines()
+            .all(|line| line.is_empty() || line.starts_with(':'))
+    }
 }
 
 /// Error: the buffered bytes exceed the maximum size of an event.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod decision_log;
 pub mod ejection;
 pub mod event_framing;
+pub mod event_sequence;
 pub mod file_table;
 pub mod hashing;
 pub mod hedge_policy;
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -421,10 +421,8 @@
                 Ok(Ok(None)) if framing.has_partial() => {
                     return Err(BrokenAnswer::lost("stream ended within an event"));
                 }
-                Ok(Ok(None)) if !answer.is_framed() && self.progress.last_event().is_none() => {
-                    return Err(BrokenAnswer::lost("connection ended before an event"));
-                }
                 Ok(Ok(None)) => {
+                    self.progress.check_end(events, answer.is_framed())?;
                     self.context.quarantine.record_answer(&self.shared_parts);
                     return Ok(());
                 }
--- a/crates/serve/src/batch/progress.rs
+++ b/crates/serve/src/batch/progress.rs
@@ -10,6 +10,7 @@
 use amaranth_wire::id::{ItemId, JobId};
 use tokio::time::Instant;
 
+use crate::attempt::BrokenAnswer;
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::replica::progress_key;
@@ -89,6 +90,21 @@
         output.last_event = Some(last_event);
     }
 
+    /// Checks the end of an answer that brought this many events. One that resumed the output and
+    /// brought none doesn't prove that the output is complete: the item starts from the beginning.
+    pub fn check_end(&self, events: u32, is_framed: bool) -> std::result::Result<(), BrokenAnswer> {
+        let mut output = self.output.lock().expect("not poisoned");
+        match output.last_event {
+            Some(_) if events == 0 => {
+                output.texts = Vec::new();
+                output.last_event = None;
+                Err(BrokenAnswer::new("no event in a resumed stream"))
+            }
+            None if !is_framed => Err(BrokenAnswer::lost("connection ended before an event")),
+            _ => Ok(()),
+        }
+    }
+
     /// Appends the data of an event.
     pub fn add(&self, number: Option<u64>, data: String) {
         let mut output = self.output.lock().expect("not poisoned");
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -13,7 +13,7 @@
 
 use amaranth_kernel::answer_match::ConnectionUse::{self, Fresh, Reused};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -33,6 +33,9 @@
 /// Subtracted from an announced idle time, so that a request does not race with the peer's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Content type of event streams, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a request got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -290,6 +293,18 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Whether the answer can be an event stream: a success that states no other type.
+    pub fn may_be_events(&self) -> bool {
+        let content_type = self.headers().get(CONTENT_TYPE);
+        let is_other = content_type.is_some_and(|content_type| {
+            let bytes = content_type.as_bytes();
+            !bytes
+                .get(..EVENT_STREAM.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        self.status().is_success() && !is_other
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -138,11 +138,13 @@
     permit: UpstreamPermit,
     trace: RequestTrace,
 ) -> Answer {
-    let status = answer.status();
-    let headers = relayed_headers(answer.headers());
     let mut relay = StreamRelay::new(run, answer, permit, trace);
-    // The head is sent with the first events: until then the request can still fail with a status.
-    let first = match relay.next_events().await {
+    // The head is sent with the first events: until then the request can still fail with a status, or
+    // another upstream may serve it.
+    let first = relay.next_events().await;
+    let (status, headers) = relay.head();
+    let headers = relayed_headers(&headers);
+    let first = match first {
         Some(Ok(events)) => events,
         Some(Err(e)) => return RequestFailure::Failed(e.to_string()).answer(),
         None => return relay_answer(status, headers, empty_body()),
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -3,7 +3,9 @@
 
 use amaranth_kernel::attempt_plan::AnswerProgress;
 use amaranth_kernel::event_framing::EventFraming;
+use amaranth_kernel::event_sequence::{EventStep, StreamPosition};
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{BrokenBody, RequestFailure};
@@ -24,6 +26,9 @@
     last_event: Option<u64>,
     /// Whether the current upstream has sent an event.
     has_events: bool,
+    /// Failure found behind events that are relayed first.
+    broken: Option<BrokenAnswer>,
+    head: (StatusCode, HeaderMap),
     request_started: Instant,
     resumed: bool,
     trace: RequestTrace,
@@ -56,11 +61,13 @@
         let silence_deadline = run.silence_deadline();
         Self {
             run,
+            head: (answer.status(), answer.headers().clone()),
             source: Some((answer, permit)),
             framing: EventFraming::new(),
             silence_deadline,
             last_event: None,
             has_events: false,
+            broken: None,
             request_started,
             resumed: false,
             trace,
@@ -70,7 +77,11 @@
     /// Returns the next events to relay; `None` at the end of the stream.
     pub async fn next_events(&mut self) -> Option<Result<Bytes>> {
         loop {
-            match self.step().await {
+            let step = match self.broken.take() {
+                Some(broken) => RelayStep::Broken(broken),
+                None => self.step().await,
+            };
+            match self.check_end(step) {
                 RelayStep::Events(events) => return Some(Ok(events)),
                 RelayStep::More => {}
                 RelayStep::End => {
@@ -110,36 +121,71 @@
     }
 
     /// Returns the complete events received so far. After a resumption, events that the caller
-    /// already has are skipped, and a gap in the ids fails the stream.
+    /// already has are skipped. What doesn't follow fails the stream after the events before it.
     fn complete_events(&mut self) -> RelayStep {
         let mut events = BytesMut::new();
+        let mut position = self.position();
         while let Some(event) = self.framing.next_event() {
             self.silence_deadline = self.run.silence_deadline();
-            if let (Some(id), Some(last)) = (event.id, self.last_event) {
-                if self.resumed && id <= last {
-                    continue;
+            match position.check_event(&event) {
+                Ok(EventStep::Skip) => {}
+                Ok(EventStep::Relay) => {
+                    position.last_event = event.id.or(position.last_event);
+                    position.has_events = true;
+                    events.extend_from_slice(&event.bytes);
                 }
-                if self.resumed && id > last + 1 {
-                    let why = format!("event {id} follows {last}");
-                    return RelayStep::Broken(BrokenAnswer::new(why));
+                Err(broken) => {
+                    self.broken = Some(BrokenAnswer::new(broken.0));
+                    break;
                 }
             }
-            self.last_event = event.id.or(self.last_event);
-            events.extend_from_slice(&event.bytes);
         }
         if events.is_empty() {
-            return RelayStep::More;
+            return match self.broken.take() {
+                Some(broken) => RelayStep::Broken(broken),
+                None => RelayStep::More,
+            };
         }
+        self.last_event = position.last_event;
         // An upstream that crashes on a request does so as it begins the answer.
         if self.has_events {
             self.run.record_answer();
         }
         self.has_events = true;
+        self.record_head();
         self.trace.first_event();
         RelayStep::Events(events.freeze())
     }
 
+    fn position(&self) -> StreamPosition {
+        StreamPosition {
+            last_event: self.last_event,
+            resumed: self.resumed,
+            has_events: self.has_events,
+        }
+    }
+
+    /// Turns the end of a stream that may not be complete into a failure.
+    fn check_end(&self, step: RelayStep) -> RelayStep {
+        match (step, self.position().check_end()) {
+            (RelayStep::End, Err(broken)) => RelayStep::Broken(BrokenAnswer::new(broken.0)),
+            (step, _) => step,
+        }
+    }
+
+    /// Status and headers of the upstream that sent the first event, or ended a stream without events.
+    pub fn head(&self) -> (StatusCode, HeaderMap) {
+        self.head.clone()
+    }
+
+    fn record_head(&mut self) {
+        if let Some((answer, _)) = self.source.as_ref().filter(|_| !self.trace.has_begun()) {
+            self.head = (answer.status(), answer.headers().clone());
+        }
+    }
+
     fn finish(&mut self) {
+        self.record_head();
         if let Some((answer, permit)) = self.source.take() {
             let took = self.request_started.elapsed().as_secs_f64() * 1000.0;
             permit.record_success((!self.resumed).then_some(took));
@@ -174,7 +220,7 @@
         loop {
             self.run.record_failure(failed.clone()).await?;
             let (answer, permit) = self.run.open(self.last_event).await?;
-            if answer.status().is_success() {
+            if answer.may_be_events() {
                 self.resumed = true;
                 self.has_events = false;
                 self.trace
