--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,7 @@
 //! opens a socket or starts a thread.
 
 pub mod admission_queue;
+pub mod answer_match;
 pub mod attempt_plan;
 pub mod batch_capacity;
 pub mod batch_slot_allocator;
@@ -16,6 +17,7 @@
 pub mod decision_log;
 pub mod ejection;
 pub mod event_framing;
+pub mod event_sequence;
 pub mod file_table;
 pub mod hand_over;
 pub mod hashing;
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -11,8 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranth_kernel::answer_match::ConnectionUse::{self, Fresh, Reused};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -32,6 +33,9 @@
 /// Subtracted from an announced idle time, so that a request does not race with the peer's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Content type of event streams, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a request got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -134,6 +138,9 @@
     response: Response<Incoming>,
     key: ConnectionKey,
     connection: OpenConnection,
+    connection_use: ConnectionUse,
+    /// Chunk that was read before it was asked for.
+    peeked: Option<Bytes>,
     pool: Arc<ConnectionPool>,
 }
 
@@ -153,7 +160,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(&key) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(key, connection, response)),
+                Ok(response) => return Ok(self.answer(key, connection, Reused, response)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::from(e.error())),
@@ -163,7 +170,7 @@
         let mut connection = open(key.address).await?;
         metrics::counter!("connections_opened_total").increment(1);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(key, connection, response)),
+            Ok(response) => Ok(self.answer(key, connection, Fresh, response)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Unsent(e.error().to_string())),
                 None => Err(SendError::from(e.error())),
@@ -203,12 +210,15 @@
         self: &Arc<Self>,
         key: ConnectionKey,
         connection: OpenConnection,
+        connection_use: ConnectionUse,
         response: Response<Incoming>,
     ) -> OpenAnswer {
         OpenAnswer {
             response,
             key,
             connection,
+            connection_use,
+            peeked: None,
             pool: self.clone(),
         }
     }
@@ -274,6 +284,11 @@
         self.response.headers()
     }
 
+    /// Whether the answer's connection was used by other requests before.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
+    }
+
     /// Whether the body has a length or chunks. Otherwise it ends with its connection, whether it is
     /// complete or not.
     pub fn is_framed(&self) -> bool {
@@ -281,8 +296,32 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Whether the answer can be an event stream: a success that states no other type.
+    pub fn may_be_events(&self) -> bool {
+        let content_type = self.headers().get(CONTENT_TYPE);
+        let is_other = content_type.is_some_and(|content_type| {
+            let bytes = content_type.as_bytes();
+            !bytes
+                .get(..EVENT_STREAM.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        self.status().is_success() && !is_other
+    }
+
+    /// Waits for a chunk of the body, which [`Self::next_chunk`] returns next. Returns whether there
+    /// is one.
+    pub async fn peek_chunk(&mut self) -> Result<bool> {
+        if self.peeked.is_none() {
+            self.peeked = self.next_chunk().await?;
+        }
+        Ok(self.peeked.is_some())
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
+        if let Some(chunk) = self.peeked.take() {
+            return Ok(Some(chunk));
+        }
         loop {
             match self.response.body_mut().frame().await {
                 None => return Ok(None),
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -13,7 +13,7 @@
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::PlacementDemand;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::RequestFailure;
 use crate::attempt::{
@@ -217,7 +217,11 @@
             head_wait: self.head_wait(permit.has_free_slot),
             end: Box::pin(async move {
                 let (pool, codec) = (&context.placement.pool, &context.codec);
-                attempt(pool, codec, permit, &request, limits).await
+                let end = attempt(pool, codec, permit, &request, limits).await;
+                match resume_after {
+                    None => end,
+                    Some(_) => begin_rest(end, limits.head_deadline).await,
+                }
             }),
         }
     }
@@ -372,6 +376,26 @@
     }
 }
 
+/// Waits until the rest of a stream has begun. An empty one doesn't continue it.
+async fn begin_rest(end: AttemptEnd, deadline: Instant) -> AttemptEnd {
+    let (mut answer, permit) = match end {
+        AttemptEnd::Answer(answer, permit) => (answer, permit),
+        AttemptEnd::Failed(failed) => return AttemptEnd::Failed(failed),
+    };
+    if !answer.may_be_events() {
+        return AttemptEnd::Failed(error_answer(&answer, &permit));
+    }
+    let upstream = permit.upstream.clone();
+    let failed = match timeout_at(deadline, answer.peek_chunk()).await {
+        Ok(Ok(true)) => return AttemptEnd::Answer(answer, permit),
+        Ok(Ok(false)) => FailedAttempt::may_have_run(upstream, "no event follows".to_owned()),
+        Ok(Err(e)) => FailedAttempt::from_error(upstream, &e),
+        Err(_) => FailedAttempt::may_have_run(upstream, "no event by the deadline".to_owned()),
+    };
+    permit.record_failure();
+    AttemptEnd::Failed(failed)
+}
+
 /// Failure of an attempt whose answer is an error.
 pub fn error_answer(answer: &OpenAnswer, permit: &UpstreamPermit) -> FailedAttempt {
     let why = format!("answered with {}", answer.status().as_u16());
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -5,7 +5,9 @@
 
 use amaranth_kernel::attempt_plan::AnswerProgress;
 use amaranth_kernel::event_framing::EventFraming;
+use amaranth_kernel::event_sequence::{EventStep, StreamPosition};
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{BrokenBody, RequestFailure};
@@ -19,10 +21,14 @@
 pub struct StreamRelay {
     run: ForwardRun,
     reader: StreamReader,
+    head: AnswerHead,
     request_started: Instant,
     trace: RequestTrace,
 }
 
+/// Status and headers of an answer.
+pub type AnswerHead = (StatusCode, HeaderMap);
+
 /// Reads complete events from the upstream that serves the stream.
 struct StreamReader {
     source: Option<(OpenAnswer, UpstreamPermit)>,
@@ -31,10 +37,9 @@
     /// don't count.
     last_heard: Instant,
     deadline: Instant,
-    last_event: Option<u64>,
-    /// Whether the current upstream has sent an event.
-    has_events: bool,
-    resumed: bool,
+    position: StreamPosition,
+    /// Failure found behind events that are relayed first.
+    broken: Option<BrokenAnswer>,
 }
 
 /// Result of reading what has arrived of a stream.
@@ -74,11 +79,13 @@
         permit: UpstreamPermit,
         trace: RequestTrace,
     ) -> Self {
+        let head = answer_head(&answer);
         let reader = StreamReader::new(answer, permit, run.deadline());
         Self {
             request_started: run.started(),
             run,
             reader,
+            head,
             trace,
         }
     }
@@ -115,7 +122,7 @@
         let Some(silence) = self.reader.silence(self.run.silence_limit()) else {
             return RelayStep::Closed;
         };
-        let last_event = self.reader.last_event;
+        let last_event = self.reader.position.last_event;
         let events = self.reader.read_events();
         let answer = match self.run.watch(&silence, events, last_event).await {
             WatchEnd::Heard(step) => return step,
@@ -125,7 +132,7 @@
                 self.run.await_answer(successor, last_event).await
             }
         };
-        match answer.and_then(check_status) {
+        match answer.and_then(check_head) {
             Ok(answer) => {
                 self.resume_from(answer);
                 RelayStep::More
@@ -136,17 +143,32 @@
 
     fn record_events(&mut self) {
         // An upstream that crashes on a request does so as it begins the answer.
-        if self.reader.has_events {
+        if self.reader.position.has_events {
             self.run.record_answer();
         }
-        self.reader.has_events = true;
+        self.reader.position.has_events = true;
+        self.record_head();
         self.trace.first_event();
     }
 
+    /// Status and headers of the upstream that sent the first event, or ended a stream without events.
+    pub fn head(&self) -> AnswerHead {
+        self.head.clone()
+    }
+
+    fn record_head(&mut self) {
+        if let Some((answer, _)) = self.reader.source.as_ref()
+            && !self.trace.has_begun()
+        {
+            self.head = answer_head(answer);
+        }
+    }
+
     fn finish(&mut self) {
+        self.record_head();
         if let Some((answer, permit)) = self.reader.source.take() {
             let took = self.request_started.elapsed().as_secs_f64() * 1000.0;
-            permit.record_success((!self.reader.resumed).then_some(took));
+            permit.record_success((!self.reader.position.resumed).then_some(took));
             self.run.record_answer();
             answer.finish();
         }
@@ -169,7 +191,7 @@
     ) -> std::result::Result<(), RequestFailure> {
         loop {
             self.run.record_failure(failed).await?;
-            match check_status(self.run.open(self.reader.last_event).await?) {
+            match check_head(self.run.open(self.reader.position.last_event).await?) {
                 Ok(answer) => {
                     self.resume_from(answer);
                     return Ok(());
@@ -180,17 +202,19 @@
     }
 
     fn resume_from(&mut self, (answer, permit): PlacedAnswer) {
-        let last_event = self.reader.last_event;
+        let last_event = self.reader.position.last_event;
         self.trace.resumed(permit.upstream.as_str(), last_event);
         self.reader.resume_from(answer, permit);
     }
 }
 
-/// An answer that continues a stream must be a success.
-fn check_status(
-    (answer, permit): PlacedAnswer,
-) -> std::result::Result<PlacedAnswer, FailedAttempt> {
-    match answer.status().is_success() {
+fn answer_head(answer: &OpenAnswer) -> AnswerHead {
+    (answer.status(), answer.headers().clone())
+}
+
+/// An answer that continues a stream must be one of events.
+fn check_head((answer, permit): PlacedAnswer) -> std::result::Result<PlacedAnswer, FailedAttempt> {
+    match answer.may_be_events() {
         true => Ok((answer, permit)),
         false => Err(error_answer(&answer, &permit)),
     }
@@ -203,9 +227,12 @@
             framing: EventFraming::new(),
             last_heard: Instant::now(),
             deadline,
-            last_event: None,
-            has_events: false,
-            resumed: false,
+            position: StreamPosition {
+                last_event: None,
+                resumed: false,
+                has_events: false,
+            },
+            broken: None,
         }
     }
 
@@ -232,6 +259,9 @@
     }
 
     async fn read_chunk(&mut self) -> ReadStep {
+        if let Some(broken) = self.broken.take() {
+            return ReadStep::Broken(broken);
+        }
         let Some((answer, _)) = &mut self.source else {
             return ReadStep::Broken(BrokenAnswer::new("no upstream to read from"));
         };
@@ -243,37 +273,46 @@
             Ok(Ok(None)) if self.framing.has_partial() => {
                 ReadStep::Broken(BrokenAnswer::lost("the stream ended within an event"))
             }
-            Ok(Ok(None)) if !answer.is_framed() && self.last_event.is_none() => {
+            Ok(Ok(None)) if !answer.is_framed() && self.position.last_event.is_none() => {
                 ReadStep::Broken(BrokenAnswer::lost("the connection ended before an event"))
             }
-            Ok(Ok(None)) => ReadStep::End,
+            Ok(Ok(None)) => match self.position.check_end() {
+                Ok(()) => ReadStep::End,
+                Err(broken) => ReadStep::Broken(BrokenAnswer::new(broken.0)),
+            },
             Ok(Err(e)) => ReadStep::Broken(e.into()),
             Err(_) => ReadStep::Broken(BrokenAnswer::new("the stream didn't end by the deadline")),
         }
     }
 
     /// Returns the complete events received so far. After a resumption, events that the caller
-    /// already has are skipped, and a gap in the ids fails the stream.
+    /// already has are skipped. What doesn't follow fails the stream after the events before it.
     fn complete_events(&mut self) -> ReadStep {
         let mut events = BytesMut::new();
+        let mut position = self.position;
         while let Some(event) = self.framing.next_event() {
             self.last_heard = Instant::now();
-            if let (Some(id), Some(last)) = (event.id, self.last_event) {
-                if self.resumed && id <= last {
-                    continue;
+            match position.check_event(&event) {
+                Ok(EventStep::Skip) => {}
+                Ok(EventStep::Relay) => {
+                    position.last_event = event.id.or(position.last_event);
+                    position.has_events = true;
+                    events.extend_from_slice(&event.bytes);
                 }
-                if self.resumed && id > last + 1 {
-                    let why = format!("event {id} follows {last}");
-                    return ReadStep::Broken(BrokenAnswer::new(why));
+                Err(broken) => {
+                    self.broken = Some(BrokenAnswer::new(broken.0));
+                    break;
                 }
             }
-            self.last_event = event.id.or(self.last_event);
-            events.extend_from_slice(&event.bytes);
         }
-        match events.is_empty() {
-            true => ReadStep::More,
-            false => ReadStep::Events(events.freeze()),
+        if events.is_empty() {
+            return match self.broken.take() {
+                Some(broken) => ReadStep::Broken(broken),
+                None => ReadStep::More,
+            };
         }
+        self.position.last_event = position.last_event;
+        ReadStep::Events(events.freeze())
     }
 
     /// Closes the connection of a stream that failed, which cancels the request at the upstream.
@@ -283,7 +322,7 @@
         };
         drop(answer);
         permit.record_failure();
-        let progress = match self.has_events {
+        let progress = match self.position.has_events {
             true => AnswerProgress::Events,
             false => AnswerProgress::Head,
         };
@@ -300,7 +339,8 @@
         self.source = Some((answer, permit));
         self.framing = EventFraming::new();
         self.last_heard = Instant::now();
-        self.has_events = false;
-        self.resumed = true;
+        self.position.has_events = false;
+        self.position.resumed = true;
+        self.broken = None;
     }
 }
