Get back to an upstream's true announcement after an absurd one

What callers saw: an entry of another writer under the id of a live upstream, with a start or a sequence number far ahead, makes each later announcement of the upstream itself count as old. The instance goes on sending to the address of the odd entry, or sends nothing if that said that the upstream leaves, until it is restarted: requests are refused or fail though a sound upstream is free. The same happens after a restart of an upstream whose clock was set back.

Cause: the newest version wins for ever, whoever wrote it.

Change: announcements that no upstream can have written (slots, sequence, start, address) name no upstream to use. A version within those bounds overrules an older entry that is the last one on the log for 5 s: a live upstream that finds a late announcement of its own there replaces it with its next heartbeat, so an older entry that stays is the true one.

Ruled out: bounds by the own clock, order on the log alone, steps between sequence numbers; the reasons are in docs/design/platform.md.

--- a/crates/kernel/src/upstream_registry.rs
+++ b/crates/kernel/src/upstream_registry.rs
@@ -1,6 +1,7 @@
 //! Registry of upstreams, built from announcements that may arrive late, twice or out of order.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
@@ -24,7 +25,62 @@
     pub sequence: u64,
 }
 
+/// Most slots of a plausible announcement; engines batch far fewer requests.
+const MAX_SLOTS: u32 = 4_096;
+/// Highest sequence number of a plausible announcement: one each millisecond for 34 years.
+const MAX_SEQUENCE: u64 = 1 << 40;
+/// Latest start of a plausible announcement, in the year 2248.
+const MAX_STARTED_MS: u64 = 1 << 43;
+
+/// Why an announcement can't be one of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ImplausibleNotice {
+    /// No upstream serves so many requests at once.
+    Slots,
+    /// No upstream has announced itself so often.
+    Sequence,
+    /// It would have started in the far future.
+    Started,
+    /// Nothing can listen at the address.
+    Address,
+}
+
+impl fmt::Display for ImplausibleNotice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Slots => "implausible number of slots",
+            Self::Sequence => "implausible sequence number",
+            Self::Started => "implausible start time",
+            Self::Address => "implausible address",
+        })
+    }
+}
+
+impl std::error::Error for ImplausibleNotice {}
+
+/// Result of checking an announcement.
+pub type Result<T> = std::result::Result<T, ImplausibleNotice>;
+
 impl UpstreamNotice {
+    /// Checks that an upstream may have written the announcement.
+    pub fn check(&self) -> Result<()> {
+        let ip = self.address.ip();
+        let checks = [
+            (self.slots <= MAX_SLOTS, ImplausibleNotice::Slots),
+            (self.sequence <= MAX_SEQUENCE, ImplausibleNotice::Sequence),
+            (
+                self.started_ms <= MAX_STARTED_MS,
+                ImplausibleNotice::Started,
+            ),
+            (
+                self.address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast(),
+                ImplausibleNotice::Address,
+            ),
+        ];
+        let failed = checks.into_iter().find(|(holds, _)| !holds);
+        failed.map_or(Ok(()), |(_, why)| Err(why))
+    }
+
     fn version(&self) -> (u64, u64) {
         (self.started_ms, self.sequence)
     }
@@ -48,8 +104,22 @@
 pub struct UpstreamRegistry {
     notices: HashMap<UpstreamId, UpstreamNotice>,
     newest_versions: HashMap<UpstreamId, (u64, u64)>,
+    overruled: HashMap<UpstreamId, OverruledNotice>,
 }
 
+/// An announcement that is the last one on the log, though one with a newer version was read before.
+#[derive(Debug)]
+struct OverruledNotice {
+    notice: UpstreamNotice,
+    /// When it was first seen to be the last one.
+    since_ms: Option<u64>,
+}
+
+/// How long a newer version overrules the last announcement on the log, in milliseconds. An upstream
+/// that finds a late announcement of its own on the log replaces it well within this; if none does,
+/// the newer version was not its own.
+const OVERRULED_MS: u64 = 5_000;
+
 /// Removed upstreams whose last version is kept, so that a late announcement does not add them
 /// again.
 const MAX_DEPARTED_VERSIONS: usize = 4_096;
@@ -60,16 +130,41 @@
         Self::default()
     }
 
-    /// Applies an announcement, unless a newer one of the upstream is known.
+    /// Applies an announcement. One that is older than the newest is only noted; see
+    /// [`settle`](Self::settle).
     pub fn announce(&mut self, upstream: UpstreamId, notice: UpstreamNotice) -> RegistryChange {
         let version = notice.version();
-        if self
-            .newest_versions
-            .get(&upstream)
-            .is_some_and(|&known| version < known)
-        {
+        let newest = self.newest_versions.get(&upstream);
+        if newest.is_some_and(|&newest| version < newest) {
+            let former = self.overruled.remove(&upstream);
+            let since_ms = former.and_then(|former| former.since_ms);
+            let overruled = OverruledNotice { notice, since_ms };
+            self.overruled.insert(upstream, overruled);
             return RegistryChange::None;
         }
+        self.overruled.remove(&upstream);
+        self.apply(upstream, notice)
+    }
+
+    /// Applies the announcements that are the last ones on the log although newer ones were read
+    /// before, once no upstream has replaced them for some time. Called after each read of the log.
+    pub fn settle(&mut self, now_ms: u64) -> Vec<(UpstreamId, RegistryChange)> {
+        let mut due = Vec::new();
+        for (upstream, overruled) in &mut self.overruled {
+            let since_ms = *overruled.since_ms.get_or_insert(now_ms);
+            if now_ms.saturating_sub(since_ms) >= OVERRULED_MS {
+                due.push((upstream.clone(), overruled.notice.clone()));
+            }
+        }
+        let apply = |(upstream, notice): (UpstreamId, UpstreamNotice)| {
+            self.overruled.remove(&upstream);
+            (upstream.clone(), self.apply(upstream, notice))
+        };
+        due.into_iter().map(apply).collect()
+    }
+
+    fn apply(&mut self, upstream: UpstreamId, notice: UpstreamNotice) -> RegistryChange {
+        let version = notice.version();
         self.newest_versions.insert(upstream.clone(), version);
         let change = match self.notices.get(&upstream) {
             Some(known) if known.address != notice.address => RegistryChange::Joined,
@@ -84,6 +179,7 @@
 
     /// Removes an upstream.
     pub fn remove(&mut self, upstream: &UpstreamId) -> RegistryChange {
+        self.overruled.remove(upstream);
         if self.newest_versions.len() > self.notices.len() + MAX_DEPARTED_VERSIONS {
             let notices = &self.notices;
             self.newest_versions
@@ -105,6 +201,7 @@
         for upstream in &gone {
             self.notices.remove(upstream);
         }
+        self.overruled.retain(|known, _| present.contains(known));
         gone
     }
 
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -91,6 +91,7 @@
         if replaces {
             pool.retain(&present);
         }
+        pool.settle();
     };
     TopicFollower {
         topic: LogTopic::Upstreams,
@@ -118,7 +119,12 @@
         }
         return None;
     };
-    match (codecs.read_notice)(&key, &value) {
+    let read = (codecs.read_notice)(&key, &value);
+    let checked = read.and_then(|(upstream, notice)| {
+        let check = notice.check().map_err(|e| e.to_string());
+        check.map(|()| (upstream, notice))
+    });
+    match checked {
         Ok((upstream, notice)) => {
             pool.announce(upstream.clone(), notice);
             Some(upstream)
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -236,6 +236,19 @@
         }
     }
 
+    /// Applies the announcements that no newer one overrules any more.
+    pub fn settle(&self) {
+        let mut registry = self.registry.write().expect("not poisoned");
+        let settled = registry.settle(steady_ms());
+        drop(registry);
+        for (upstream, change) in settled {
+            log::warn!("event=upstream_version_undone upstream={upstream} change={change:?}");
+            if change == RegistryChange::Joined {
+                self.forget_upstream(&upstream);
+            }
+        }
+    }
+
     /// Removes an upstream and drops idle connections to it.
     pub fn remove(&self, upstream: &UpstreamId) {
         let change = self
