Free locks after a panic while they were held

What callers saw: after one panic under a lock, every later request that took it panicked in turn and got no answer; readiness probes as well.

Cause: each lock was taken with expect("not poisoned"), so that a lock fails for ever after a panic. A permit that was dropped during the panic took such a lock again, and a panic in a drop during a panic aborts the process.

What they guard is valid after each step or says when it isn't: a replica of jobs that may lack entries is not loaded.

Weighed: locks without poisoning from another crate (a new direct dependency for the same effect). crates/entry keeps its locks: its state must equal the log's, and half an update must not be read.

Evidence: a_panic_while_a_lock_is_held_does_not_end_later_calls failed before: the call after the panic was answered 502, as the lock was poisoned. The abort by a permit's drop was read in the code, not run.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -7,8 +7,8 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +22,8 @@
 use volo_http::error::client::ErrorKind as VoloKind;
 use volo_http::response::Response;
 
+use crate::state_lock::StateRwLock;
+
 /// Timeouts of one call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallLimits {
@@ -136,7 +138,7 @@
 /// HTTP client with a connection pool. Cheap to clone; clones share the pool.
 #[derive(Clone)]
 pub struct HttpClient {
-    current: Arc<RwLock<Arc<PoolGeneration>>>,
+    current: Arc<StateRwLock<Arc<PoolGeneration>>>,
     abandoned_count: Arc<AtomicU64>,
     connect_timeout: Duration,
 }
@@ -146,7 +148,7 @@
     pub fn new(connect_timeout: Duration) -> Self {
         let first = Arc::new(build_generation(0, connect_timeout));
         Self {
-            current: Arc::new(RwLock::new(first)),
+            current: Arc::new(StateRwLock::new(first)),
             abandoned_count: Arc::new(AtomicU64::new(0)),
             connect_timeout,
         }
@@ -159,7 +161,7 @@
 
     /// Makes a call and returns its response as soon as the head is received.
     pub async fn send(&self, call: HttpCall, limits: CallLimits) -> Result<HttpAnswer> {
-        let generation = self.current.read().expect("not poisoned").clone();
+        let generation = self.current.read().clone();
         let uri = format!("http://{}{}", call.address, call.path);
         let mut request = generation
             .client
@@ -215,7 +217,7 @@
 
     /// Replaces the pool, unless this generation was already replaced.
     fn abandon(&self, number: u64) {
-        let mut current = self.current.write().expect("not poisoned");
+        let mut current = self.current.write();
         if current.number != number {
             return;
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod log_queue;
 pub mod route;
 pub mod server;
+pub mod state_lock;
 pub mod telemetry;
--- a/crates/serve/src/batch/blobs.rs
+++ b/crates/serve/src/batch/blobs.rs
@@ -2,9 +2,10 @@
 //! once and never changed.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use amaranth_kernel::hashing::hash_bytes;
+use amaranth_net::state_lock::StateMutex;
 use amaranth_wire::batch_entry::BlobRef;
 use amaranth_wire::id::{JobId, LogOffset};
 use bytes::Bytes;
@@ -25,7 +26,7 @@
 pub struct BlobStore {
     log: Arc<DurableLog>,
     committer: BatchCommitter,
-    cache: Mutex<BlobCache>,
+    cache: StateMutex<BlobCache>,
     /// Locked by key hash during a read, so that concurrent readers of a blob find it in the cache.
     read_locks: Vec<tokio::sync::Mutex<()>>,
 }
@@ -63,7 +64,7 @@
         Self {
             log,
             committer,
-            cache: Mutex::default(),
+            cache: StateMutex::default(),
             read_locks: (0..READ_LOCKS)
                 .map(|_| tokio::sync::Mutex::default())
                 .collect(),
@@ -111,10 +112,7 @@
             .committer
             .append_records(records.collect(), urgent)
             .await?;
-        self.cache
-            .lock()
-            .expect("not poisoned")
-            .insert(&blob.key, bytes);
+        self.cache.lock().insert(&blob.key, bytes);
         Ok(blob)
     }
 
@@ -142,15 +140,12 @@
             Err(LogError::Trimmed) => self.read_by_key(blob).await?,
             other => other?,
         };
-        self.cache
-            .lock()
-            .expect("not poisoned")
-            .insert(&blob.key, bytes.clone());
+        self.cache.lock().insert(&blob.key, bytes.clone());
         Ok(bytes)
     }
 
     fn cached(&self, key: &str) -> Option<Bytes> {
-        let cache = self.cache.lock().expect("not poisoned");
+        let cache = self.cache.lock();
         cache.blobs.get(key).cloned()
     }
 
--- a/crates/serve/src/batch/item_queue.rs
+++ b/crates/serve/src/batch/item_queue.rs
@@ -1,10 +1,11 @@
 //! Lets one item at a time ask for an upstream slot, in the order that `item_order` decides.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use amaranth_kernel::item_order::{WaitingItem, next_item};
 use amaranth_kernel::moving_average::moving_average;
 use amaranth_net::clock::unix_ms;
+use amaranth_net::state_lock::StateMutex;
 use tokio::sync::oneshot;
 
 /// Weight of a new run's duration in the moving average.
@@ -23,7 +24,7 @@
 /// Queue of the items that wait to ask for a slot. Cheap to clone.
 #[derive(Clone, Default)]
 pub struct ItemQueue {
-    state: Arc<Mutex<QueueState>>,
+    state: Arc<StateMutex<QueueState>>,
 }
 
 /// The right to ask for a slot; dropping it passes it on.
@@ -46,7 +47,7 @@
     /// Waits for the turn of an item.
     pub async fn take_turn(&self, item: WaitingItem) -> ItemTurn {
         let waiter = {
-            let mut state = self.state.lock().expect("not poisoned");
+            let mut state = self.state.lock();
             if !state.is_taken {
                 state.is_taken = true;
                 None
@@ -68,12 +69,12 @@
 
     /// Records the duration of a whole run in milliseconds.
     pub fn record_run(&self, run_ms: f64) {
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         state.run_ms = Some(moving_average(state.run_ms, run_ms, SAMPLE_WEIGHT));
     }
 
     fn pass_on(&self) {
-        let mut state = self.state.lock().expect("not poisoned");
+        let mut state = self.state.lock();
         // Items that were cancelled while they waited are gone.
         state.waiting.retain(|(_, sender)| !sender.is_closed());
         let items: Vec<_> = state.waiting.iter().map(|(item, _)| *item).collect();
--- a/crates/serve/src/batch/progress.rs
+++ b/crates/serve/src/batch/progress.rs
@@ -1,10 +1,11 @@
 //! Saves the partial output of a running item on the log periodically, so that another instance can
 //! resume where this one stopped.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::job_table::PROGRESS_PERIOD_MS;
+use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemProgress, PartialOutput};
 use amaranth_wire::id::{ItemId, JobId};
@@ -46,7 +47,7 @@
     job: JobId,
     item: ItemId,
     writer: ProgressWriter,
-    output: Mutex<RunOutput>,
+    output: StateMutex<RunOutput>,
     /// Held while progress is saved.
     saving: Arc<tokio::sync::Mutex<()>>,
 }
@@ -58,47 +59,43 @@
             job,
             item,
             writer,
-            output: Mutex::default(),
+            output: StateMutex::default(),
             saving: Arc::default(),
         }
     }
 
     /// Id of the last event received; `None` without one.
     pub fn last_event(&self) -> Option<u64> {
-        self.output.lock().expect("not poisoned").last_event
+        self.output.lock().last_event
     }
 
     /// Whether saving was started once, which claims the item for this instance.
     pub fn has_started(&self) -> bool {
-        self.output
-            .lock()
-            .expect("not poisoned")
-            .last_saved
-            .is_some()
+        self.output.lock().last_saved.is_some()
     }
 
     /// Returns the output so far, events separated by line feeds.
     pub fn text(&self) -> String {
-        self.output.lock().expect("not poisoned").texts.join("\n")
+        self.output.lock().texts.join("\n")
     }
 
     /// Continues from the output of an earlier run.
     pub fn resume(&self, last_event: u64, text: String) {
-        let mut output = self.output.lock().expect("not poisoned");
+        let mut output = self.output.lock();
         output.texts = vec![text];
         output.last_event = Some(last_event);
     }
 
     /// Appends the data of an event.
     pub fn add(&self, number: Option<u64>, data: String) {
-        let mut output = self.output.lock().expect("not poisoned");
+        let mut output = self.output.lock();
         output.last_event = number;
         output.texts.push(data);
     }
 
     /// Appends the item's claim and partial output in the background, if a save is due.
     pub fn save_if_due(self: &Arc<Self>) {
-        let mut output = self.output.lock().expect("not poisoned");
+        let mut output = self.output.lock();
         let is_due = output
             .last_saved
             .is_none_or(|last_saved| last_saved.elapsed() >= SAVE_PERIOD);
@@ -140,7 +137,7 @@
 
     /// Returns the partial outputs of this run on the log, which its end makes obsolete.
     pub fn take_stored(&self) -> Vec<BlobRef> {
-        let mut output = self.output.lock().expect("not poisoned");
+        let mut output = self.output.lock();
         std::mem::take(&mut output.stored)
     }
 
@@ -170,21 +167,21 @@
     /// in use until an entry refers to the new one.
     async fn store_output(&self, text: String, urgent: bool) -> Result<BlobRef> {
         let unused = {
-            let mut output = self.output.lock().expect("not poisoned");
+            let mut output = self.output.lock();
             let latest = output.stored.pop();
             std::mem::replace(&mut output.stored, latest.into_iter().collect())
         };
         let blobs = &self.writer.blobs;
         let stored = blobs.put_replacing(&self.job, text.into_bytes(), urgent, &unused);
         let blob = stored.await?;
-        let mut output = self.output.lock().expect("not poisoned");
+        let mut output = self.output.lock();
         output.stored.push(blob.clone());
         Ok(blob)
     }
 
     async fn append(&self, member: Option<String>, urgent: bool) -> Result<()> {
         let (last_event, text) = {
-            let output = self.output.lock().expect("not poisoned");
+            let output = self.output.lock();
             (output.last_event, output.texts.join("\n"))
         };
         let kept = match last_event {
--- a/crates/serve/src/batch/replica.rs
+++ b/crates/serve/src/batch/replica.rs
@@ -1,11 +1,12 @@
 //! This instance's in-memory copy of the batch jobs on the log.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::job_table::{ApplyOutcome, JobTable};
 use amaranth_net::clock::steady_ms;
+use amaranth_net::state_lock::StateMutex;
 use amaranth_wire::batch_entry::{BatchEntry, ItemProgress};
 use amaranth_wire::id::{ItemId, JobId, LogOffset};
 use tokio::sync::watch;
@@ -21,7 +22,7 @@
 
 /// Batch jobs and the log position up to which they were read.
 pub struct JobReplica {
-    inner: Mutex<ReplicaState>,
+    inner: StateMutex<ReplicaState>,
     changed: watch::Sender<u64>,
 }
 
@@ -185,14 +186,14 @@
     /// Creates an empty replica.
     pub fn new() -> Self {
         Self {
-            inner: Mutex::default(),
+            inner: StateMutex::default(),
             changed: watch::channel(0).0,
         }
     }
 
     /// Applies entries that a follower read; `sent` is when the read was sent.
     pub fn apply(&self, update: TopicUpdate, next: Option<LogOffset>, sent: Instant) {
-        let mut inner = self.inner.lock().expect("not poisoned");
+        let mut inner = self.inner.lock();
         let replaced = matches!(update, TopicUpdate::Replace(_));
         // A panic below leaves the replica unloaded: it may lack entries.
         let was_loaded = std::mem::take(&mut inner.loaded);
@@ -224,7 +225,7 @@
 
     /// Applies entries of the progress topic.
     pub fn apply_progress(&self, update: TopicUpdate) {
-        let mut inner = self.inner.lock().expect("not poisoned");
+        let mut inner = self.inner.lock();
         let entries = match update {
             TopicUpdate::Replace(entries) => {
                 inner.progress = Some(HashMap::new());
@@ -244,18 +245,18 @@
 
     /// Drops the progress of items, as it is no longer followed.
     pub fn forget_progress(&self) {
-        self.inner.lock().expect("not poisoned").progress = None;
+        self.inner.lock().progress = None;
     }
 
     /// Whether the progress of items is known, without which none may be started.
     pub fn has_progress(&self) -> bool {
-        let inner = self.inner.lock().expect("not poisoned");
+        let inner = self.inner.lock();
         inner.progress.is_some()
     }
 
     /// Returns the keys of a job's progress records.
     pub fn progress_keys(&self, job: &JobId) -> Vec<String> {
-        let inner = self.inner.lock().expect("not poisoned");
+        let inner = self.inner.lock();
         let items = inner.progress.iter().flat_map(HashMap::keys);
         let items = items.filter(|(of, _)| of == job);
         items.map(|(job, item)| progress_key(job, item)).collect()
@@ -263,13 +264,13 @@
 
     /// Whether the topic was read completely at least once.
     pub fn is_loaded(&self) -> bool {
-        self.inner.lock().expect("not poisoned").loaded
+        self.inner.lock().loaded
     }
 
     /// Whether the log was read recently enough to start items: the log may be the only place that
     /// knows of a job's end.
     pub fn is_fresh(&self) -> bool {
-        let inner = self.inner.lock().expect("not poisoned");
+        let inner = self.inner.lock();
         inner
             .read_sent
             .is_some_and(|sent| sent.elapsed() <= MAX_READ_AGE)
@@ -277,18 +278,18 @@
 
     /// Calls `read` with the jobs while holding the lock.
     pub fn with_table<T>(&self, read: impl FnOnce(&JobTable) -> T) -> T {
-        read(&self.inner.lock().expect("not poisoned").table)
+        read(&self.inner.lock().table)
     }
 
     /// Returns the keys of a job's records.
     pub fn keys(&self, job: &JobId) -> Vec<String> {
-        let inner = self.inner.lock().expect("not poisoned");
+        let inner = self.inner.lock();
         inner.keys.get(job).cloned().unwrap_or_default()
     }
 
     /// Returns the keys of a rejected submission's records.
     pub fn rejected_keys(&self, call: u64) -> Vec<String> {
-        let inner = self.inner.lock().expect("not poisoned");
+        let inner = self.inner.lock();
         inner.rejected_keys.get(&call).cloned().unwrap_or_default()
     }
 
@@ -300,7 +301,7 @@
     /// Reads the log from the last read position to its end.
     pub async fn catch_up(&self, log: &Arc<DurableLog>) -> Result<()> {
         loop {
-            let from = self.inner.lock().expect("not poisoned").next;
+            let from = self.inner.lock().next;
             let sent = Instant::now();
             let slice = (log.read)(LogRead::new(LogTopic::Batch, from)).await?;
             let at_end = slice.entries.is_empty();
--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -5,10 +5,11 @@
 //! same item for a while, since only the first end on the log counts.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::hashing::hash_bytes;
+use amaranth_net::state_lock::StateMutex;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -29,9 +30,9 @@
 
 /// The shards assigned to this instance, and the members of its group.
 pub struct ShardAssignment {
-    held: Mutex<HashMap<u64, Instant>>,
-    generation: Mutex<u64>,
-    members: Mutex<HashSet<String>>,
+    held: StateMutex<HashMap<u64, Instant>>,
+    generation: StateMutex<u64>,
+    members: StateMutex<HashSet<String>>,
     on_members: MembersHook,
     member: String,
     shard_count: u64,
@@ -41,9 +42,9 @@
     /// Creates an assignment without shards for the named member.
     pub fn new(member: String, shard_count: u64, on_members: MembersHook) -> Self {
         Self {
-            held: Mutex::default(),
-            generation: Mutex::default(),
-            members: Mutex::default(),
+            held: StateMutex::default(),
+            generation: StateMutex::default(),
+            members: StateMutex::default(),
             on_members,
             member,
             shard_count: shard_count.max(1),
@@ -57,25 +58,25 @@
 
     /// Whether any shard is assigned to this instance.
     pub fn has_shards(&self) -> bool {
-        !self.held.lock().expect("not poisoned").is_empty()
+        !self.held.lock().is_empty()
     }
 
     /// Number of members that hold shards, as last listed; at least 1.
     pub fn member_count(&self) -> u64 {
-        let members = self.members.lock().expect("not poisoned");
+        let members = self.members.lock();
         members.len().max(1) as u64
     }
 
     /// Whether the member was in the group when it was last listed.
     pub fn is_member(&self, name: &str) -> bool {
-        self.members.lock().expect("not poisoned").contains(name)
+        self.members.lock().contains(name)
     }
 
     /// Whether the item or job with this name may be started or deleted here. If it was known
     /// before its shard was assigned, the former owner may still run it for `HANDOVER_TIME`.
     pub fn may_run(&self, name: &str, known_for: Duration) -> bool {
         let shard = hash_bytes(name.as_bytes(), 0) % self.shard_count;
-        let held = self.held.lock().expect("not poisoned");
+        let held = self.held.lock();
         held.get(&shard).is_some_and(|since| {
             let held_for = since.elapsed();
             held_for >= HANDOVER_TIME || held_for >= known_for
@@ -88,7 +89,7 @@
             self.join(&log).await;
             stop.run_until_cancelled(sleep(JOIN_PERIOD)).await;
         }
-        self.held.lock().expect("not poisoned").clear();
+        self.held.lock().clear();
         match (log.leave)(self.member.clone()).await {
             Ok(()) => log::info!("event=group_left member={}", self.member),
             Err(e) => log::warn!(
@@ -102,7 +103,7 @@
     async fn join(&self, log: &DurableLog) {
         let request = JoinRequest {
             member: self.member.clone(),
-            generation: *self.generation.lock().expect("not poisoned"),
+            generation: *self.generation.lock(),
             ttl: MEMBER_TTL,
         };
         match (log.join)(request).await {
@@ -123,7 +124,7 @@
     async fn refresh_members(&self, log: &DurableLog) {
         match (log.members)(()).await {
             Ok(members) => {
-                *self.members.lock().expect("not poisoned") = members.iter().cloned().collect();
+                *self.members.lock() = members.iter().cloned().collect();
                 (self.on_members)(members);
             }
             Err(e) => log::info!("event=members_not_listed error={:?}", e.to_string()),
@@ -132,14 +133,14 @@
 
     /// Applies an assignment; returns whether its generation is new.
     fn apply_assignment(&self, shards: GroupShards) -> bool {
-        let mut held = self.held.lock().expect("not poisoned");
+        let mut held = self.held.lock();
         let before = held.len();
         held.retain(|shard, _| shards.shards.contains(shard));
         let lost = before - held.len();
         for shard in &shards.shards {
             held.entry(*shard).or_insert_with(Instant::now);
         }
-        let mut generation = self.generation.lock().expect("not poisoned");
+        let mut generation = self.generation.lock();
         let is_new = *generation != shards.generation;
         if is_new {
             log::info!(
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -1,11 +1,12 @@
 //! Runs the items that this instance owns, and deletes jobs after their retention time.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::job_table::TrackedJob;
 use amaranth_net::clock::{steady_ms, unix_ms};
+use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemEnd};
 use amaranth_wire::id::{ItemId, JobId};
@@ -50,7 +51,7 @@
     writer: ProgressWriter,
     context: Arc<ItemContext>,
     config: WorkerConfig,
-    running: Arc<Mutex<HashMap<JobId, RunningJob>>>,
+    running: Arc<StateMutex<HashMap<JobId, RunningJob>>>,
     tasks: TaskTracker,
 }
 
@@ -101,7 +102,7 @@
 
     /// Cancels the running items of jobs that their callers ended.
     fn cancel_ended_jobs(&self) {
-        let running = self.running.lock().expect("not poisoned");
+        let running = self.running.lock();
         for (id, job) in running.iter() {
             let ended = self
                 .replica
@@ -121,7 +122,7 @@
         if !self.replica.has_progress() {
             return Vec::new();
         }
-        let running = self.running.lock().expect("not poisoned");
+        let running = self.running.lock();
         let count: usize = running.values().map(|job| job.items.len()).sum();
         let held = self.context.held_items.len();
         let capacity = MAX_RUNNING_ITEMS.saturating_sub(count.saturating_sub(held));
@@ -174,7 +175,7 @@
     }
 
     fn start_item(&self, pending: PendingItem, stop: &CancellationToken) {
-        let mut running = self.running.lock().expect("not poisoned");
+        let mut running = self.running.lock();
         let job = running.entry(pending.job.clone()).or_default();
         job.items.insert(pending.item.id.clone());
         let cancel = job.cancel.clone();
@@ -316,8 +317,8 @@
     job.is_claimed(item, shards.member(), is_alive, steady_ms())
 }
 
-fn remove_run(running: &Mutex<HashMap<JobId, RunningJob>>, id: &JobId, item: &ItemId) {
-    let mut running = running.lock().expect("not poisoned");
+fn remove_run(running: &StateMutex<HashMap<JobId, RunningJob>>, id: &JobId, item: &ItemId) {
+    let mut running = running.lock();
     if let Some(job) = running.get_mut(id) {
         job.items.remove(item);
         if job.items.is_empty() {
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -8,9 +8,10 @@
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_net::state_lock::StateMutex;
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response};
@@ -126,7 +127,7 @@
 /// Idle connections of this process, by key.
 #[derive(Default)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<ConnectionKey, Vec<IdleConnection>>>,
+    idle: StateMutex<HashMap<ConnectionKey, Vec<IdleConnection>>>,
 }
 
 /// An answer whose head was received. Dropping it before its end closes the connection.
@@ -185,14 +186,14 @@
 
     /// Drops the idle connections to an owner.
     pub fn forget(&self, owner: &str) {
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.retain(|key, _| key.owner != owner);
     }
 
     /// Drops idle connections that have expired or are closed.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.retain(|_, connections| {
             connections.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
             !connections.is_empty()
@@ -215,7 +216,7 @@
 
     fn take_idle(&self, key: &ConnectionKey) -> Option<OpenConnection> {
         let now = Instant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         let connections = idle.get_mut(key)?;
         while let Some(candidate) = connections.pop() {
             if now < candidate.until && candidate.connection.sender.is_ready() {
@@ -227,7 +228,7 @@
 
     fn keep(&self, key: ConnectionKey, connection: OpenConnection, idle_time: Duration) {
         let until = Instant::now() + idle_time;
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.entry(key)
             .or_default()
             .push(IdleConnection { connection, until });
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -1,6 +1,6 @@
 //! Runs one forwarded request: attempts it until an upstream answers or no attempt may follow.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{
@@ -8,6 +8,7 @@
 };
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
+use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::PlacementDemand;
@@ -47,7 +48,7 @@
     pub codec: UpstreamCodec,
     /// Refuses requests whose prompts crash upstreams.
     pub quarantine: Arc<QuarantineService>,
-    budget: Mutex<RetryBudget>,
+    budget: StateMutex<RetryBudget>,
 }
 
 impl ForwardContext {
@@ -61,7 +62,7 @@
             placement,
             codec,
             quarantine,
-            budget: Mutex::new(RetryBudget::new()),
+            budget: StateMutex::new(RetryBudget::new()),
         }
     }
 }
@@ -92,7 +93,7 @@
         caller_timeout_ms: Option<u64>,
     ) -> Self {
         let limit_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        context.budget.lock().expect("not poisoned").add_request();
+        context.budget.lock().add_request();
         Self {
             context,
             group,
@@ -192,7 +193,7 @@
     }
 
     fn decide_next(&self, proof: FailureProof, bounds: AttemptBounds) -> AttemptDecision {
-        let mut budget = self.context.budget.lock().expect("not poisoned");
+        let mut budget = self.context.budget.lock();
         decide_after_failure(self.count, proof, bounds, &mut budget)
     }
 
--- a/crates/serve/src/peer_state.rs
+++ b/crates/serve/src/peer_state.rs
@@ -6,9 +6,10 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_net::state_lock::StateMutex;
 use amaranth_wire::id::LogOffset;
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -78,7 +79,7 @@
 /// The newest entries of the topics that peers ask for.
 #[derive(Debug, Default)]
 pub struct TopicCopies {
-    topics: Mutex<HashMap<LogTopic, TopicCopy>>,
+    topics: StateMutex<HashMap<LogTopic, TopicCopy>>,
 }
 
 impl TopicCopies {
@@ -89,7 +90,7 @@
 
     /// Records entries from a read of the log that was sent at `sent`.
     pub fn record(&self, topic: LogTopic, update: &TopicUpdate, sent: Instant) {
-        let mut topics = self.topics.lock().expect("not poisoned");
+        let mut topics = self.topics.lock();
         let copy = topics.entry(topic).or_insert_with(|| TopicCopy::new(sent));
         (copy.from_log, copy.read_at) = (true, sent);
         let entries = match update {
@@ -104,10 +105,7 @@
 
     /// Whether a topic was read from the log or a peer.
     fn has_topic(&self, topic: LogTopic) -> bool {
-        self.topics
-            .lock()
-            .expect("not poisoned")
-            .contains_key(&topic)
+        self.topics.lock().contains_key(&topic)
     }
 
     /// Stores entries that a peer read at `read_at` and applies them, unless this instance has read
@@ -119,7 +117,7 @@
         read_at: Instant,
         apply: impl FnOnce(Vec<LogEntry>),
     ) -> bool {
-        let mut topics = self.topics.lock().expect("not poisoned");
+        let mut topics = self.topics.lock();
         if topics.get(&topic).is_some_and(|copy| copy.from_log) {
             return false;
         }
@@ -132,7 +130,7 @@
 
     /// Returns the state for peers; `None` until it was read from the log or a peer.
     pub fn state(&self, members: &[MemberName]) -> Option<PeerState> {
-        let topics = self.topics.lock().expect("not poisoned");
+        let topics = self.topics.lock();
         let upstreams = topics.get(&LogTopic::Upstreams)?;
         let age = upstreams.read_at.elapsed().as_millis();
         Some(PeerState {
--- a/crates/serve/src/placement_service.rs
+++ b/crates/serve/src/placement_service.rs
@@ -5,14 +5,15 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use amaranth_kernel::hashing::rendezvous_order;
 use amaranth_kernel::outlier_reports::{OutlierReports, ReportingMember};
 use amaranth_kernel::slot_allocator::{PreemptionOrder, SlotAllocator, UpstreamSlots};
 use amaranth_net::clock::steady_ms;
+use amaranth_net::state_lock::{StateMutex, StateRwLock};
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::{
     InFlightCounts, PlacementDemand, PlacementMessage, PlacementReply, PlacementRequest,
@@ -54,17 +55,17 @@
 
 /// Registers a placement request until its slot is counted here or its caller is gone.
 struct OpenRequest<'a> {
-    pending: &'a Mutex<PendingRequests>,
+    pending: &'a StateMutex<PendingRequests>,
     number: u64,
 }
 
 impl<'a> OpenRequest<'a> {
     fn new(
-        pending: &'a Mutex<PendingRequests>,
+        pending: &'a StateMutex<PendingRequests>,
         number: u64,
         sender: oneshot::Sender<PlacementReply>,
     ) -> Self {
-        let mut open = pending.lock().expect("not poisoned");
+        let mut open = pending.lock();
         open.insert(number, Some(sender));
         Self { pending, number }
     }
@@ -72,7 +73,7 @@
 
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
-        let mut open = self.pending.lock().expect("not poisoned");
+        let mut open = self.pending.lock();
         open.remove(&self.number);
     }
 }
@@ -89,11 +90,11 @@
     pub pool: Arc<UpstreamPool>,
     member: MemberName,
     socket: UdpSocket,
-    members: RwLock<Vec<MemberName>>,
-    allocator: Mutex<SlotAllocator>,
-    reports: Mutex<OutlierReports>,
-    pending: Mutex<PendingRequests>,
-    silent_allocators: Mutex<HashMap<SocketAddr, Instant>>,
+    members: StateRwLock<Vec<MemberName>>,
+    allocator: StateMutex<SlotAllocator>,
+    reports: StateMutex<OutlierReports>,
+    pending: StateMutex<PendingRequests>,
+    silent_allocators: StateMutex<HashMap<SocketAddr, Instant>>,
     number: AtomicU64,
     sequence: AtomicU64,
     quarantine_inbox: mpsc::Sender<ReceivedNotice>,
@@ -114,13 +115,13 @@
         member.address = socket.local_addr()?;
         Ok(Self {
             pool,
-            members: RwLock::new(vec![member.clone()]),
+            members: StateRwLock::new(vec![member.clone()]),
             member,
             socket,
-            allocator: Mutex::default(),
-            reports: Mutex::default(),
-            pending: Mutex::default(),
-            silent_allocators: Mutex::default(),
+            allocator: StateMutex::default(),
+            reports: StateMutex::default(),
+            pending: StateMutex::default(),
+            silent_allocators: StateMutex::default(),
             number: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             quarantine_inbox,
@@ -134,13 +135,13 @@
 
     /// Returns the members known to this instance.
     pub fn members(&self) -> Vec<MemberName> {
-        self.members.read().expect("not poisoned").clone()
+        self.members.read().clone()
     }
 
     /// Replaces the list of members.
     pub fn set_members(&self, members: Vec<MemberName>) {
         log::info!("event=members_changed count={}", members.len());
-        *self.members.write().expect("not poisoned") = members;
+        *self.members.write() = members;
     }
 
     /// Places a request at an upstream of the group that isn't excluded.
@@ -185,7 +186,7 @@
 
     /// Returns the members that share a task of the whole fleet, in order of preference.
     pub fn preferred_members(&self, task: &str) -> Vec<MemberName> {
-        let members = self.members.read().expect("not poisoned");
+        let members = self.members.read();
         let largest = members.iter().map(|member| member.weight).max();
         let eligible = members
             .iter()
@@ -250,13 +251,13 @@
         log::info!("event=allocator_silent group={group} allocator={name} ms={ms}");
         metrics::counter!("desk_silent_total").increment(1);
         let until = Instant::now() + SILENT_BACKOFF;
-        let mut silent = self.silent_allocators.lock().expect("not poisoned");
+        let mut silent = self.silent_allocators.lock();
         silent.insert(allocator.address, until);
         None
     }
 
     fn is_silent(&self, address: SocketAddr) -> bool {
-        let mut silent = self.silent_allocators.lock().expect("not poisoned");
+        let mut silent = self.silent_allocators.lock();
         let now = Instant::now();
         silent.retain(|_, until| *until > now);
         silent.contains_key(&address)
@@ -286,7 +287,7 @@
         });
         let (suspected, trusted): (Vec<_>, Vec<_>) =
             upstreams.partition(|row| suspects.contains(&row.upstream));
-        let mut allocator = self.allocator.lock().expect("not poisoned");
+        let mut allocator = self.allocator.lock();
         let answer = allocator.allocate(&trusted, request, now_ms, &mut rand::rng());
         if matches!(answer.0, PlacementReply::Granted { .. }) || suspected.is_empty() {
             return answer;
@@ -307,7 +308,7 @@
         now_ms: u64,
     ) -> Vec<UpstreamId> {
         let data_centre = reporter.data_centre;
-        let mut reports = self.reports.lock().expect("not poisoned");
+        let mut reports = self.reports.lock();
         reports.record(reporter, excluded, group_len, now_ms);
         let suspects = reports.suspects(data_centre, now_ms);
         if reports.suspects_changed(data_centre, &suspects) {
@@ -379,7 +380,7 @@
                 sequence,
                 counts,
             } => {
-                let mut allocator = self.allocator.lock().expect("not poisoned");
+                let mut allocator = self.allocator.lock();
                 allocator.record_counts(member, sequence, counts, steady_ms());
             }
             PlacementMessage::Request {
@@ -401,7 +402,7 @@
                 ),
             },
             PlacementMessage::Reply { number, reply } => {
-                let mut pending = self.pending.lock().expect("not poisoned");
+                let mut pending = self.pending.lock();
                 if let Some(waiting) = pending.get_mut(&number).and_then(Option::take) {
                     // The receiver may have timed out in the meantime.
                     let _ = waiting.send(reply);
@@ -436,7 +437,7 @@
     }
 
     fn counts(&self) -> InFlightCounts {
-        let pending = self.pending.lock().expect("not poisoned");
+        let pending = self.pending.lock();
         InFlightCounts {
             rows: self.pool.counts(),
             next_request: self.number.load(Ordering::Relaxed),
@@ -463,7 +464,7 @@
         for allocator in allocators {
             match allocator == self.member {
                 true => {
-                    let mut own = self.allocator.lock().expect("not poisoned");
+                    let mut own = self.allocator.lock();
                     own.record_counts(
                         self.member.to_string(),
                         sequence,
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -4,8 +4,8 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause};
@@ -13,6 +13,7 @@
 use amaranth_kernel::hashing::hash_bytes;
 use amaranth_kernel::prompt_quarantine::PromptQuarantine;
 use amaranth_net::clock::{steady_ms, unix_ms};
+use amaranth_net::state_lock::StateMutex;
 use amaranth_wire::id::{PromptPartId, RequestId};
 use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
 use tokio::sync::mpsc;
@@ -43,8 +44,8 @@
 
 /// Rules against prompts that crash upstreams, shared by all instances.
 pub struct QuarantineService {
-    quarantine: Mutex<PromptQuarantine>,
-    evidence: Mutex<CrashEvidence>,
+    quarantine: StateMutex<PromptQuarantine>,
+    evidence: StateMutex<CrashEvidence>,
     outbox: mpsc::Sender<OutgoingNotice>,
     /// Whether the rules on the log, or those of a peer, have been read.
     loaded: AtomicBool,
@@ -76,8 +77,8 @@
     pub fn new(inbox: mpsc::Receiver<ReceivedNotice>) -> (Arc<Self>, QuarantineQueues) {
         let (outbox, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let service = Self {
-            quarantine: Mutex::default(),
-            evidence: Mutex::default(),
+            quarantine: StateMutex::default(),
+            evidence: StateMutex::default(),
             outbox,
             loaded: AtomicBool::new(false),
             first_loaded: CancellationToken::new(),
@@ -158,11 +159,11 @@
     }
 
     pub(crate) fn with_quarantine<T>(&self, call: impl FnOnce(&mut PromptQuarantine) -> T) -> T {
-        call(&mut self.quarantine.lock().expect("not poisoned"))
+        call(&mut self.quarantine.lock())
     }
 
     pub(crate) fn with_evidence<T>(&self, call: impl FnOnce(&mut CrashEvidence) -> T) -> T {
-        call(&mut self.evidence.lock().expect("not poisoned"))
+        call(&mut self.evidence.lock())
     }
 
     /// Whether a rule in force refuses requests with these parts, and so explains a crash.
--- a/crates/serve/src/route_state.rs
+++ b/crates/serve/src/route_state.rs
@@ -1,9 +1,10 @@
 //! The route table in force. Its revision never decreases within a process.
 
 use std::fmt;
-use std::sync::{Arc, RwLock};
+use std::sync::Arc;
 
 use amaranth_kernel::route_table::{RouteRule, RouteTable};
+use amaranth_net::state_lock::StateRwLock;
 use amaranth_wire::id::ConfigRevision;
 use tokio_util::sync::CancellationToken;
 
@@ -28,7 +29,7 @@
 /// The newest route table that this process has read, with its source.
 #[derive(Debug, Default)]
 pub struct RouteState {
-    table: RwLock<Option<(Arc<RouteTable>, RouteSource)>>,
+    table: StateRwLock<Option<(Arc<RouteTable>, RouteSource)>>,
     /// Cancelled when the first table comes into force.
     first_applied: CancellationToken,
 }
@@ -41,7 +42,7 @@
 
     /// Returns the table in force; `None` before the first one.
     pub fn current(&self) -> Option<Arc<RouteTable>> {
-        let table = self.table.read().expect("not poisoned");
+        let table = self.table.read();
         table.as_ref().map(|(table, _)| table.clone())
     }
 
@@ -52,7 +53,7 @@
 
     /// Returns the source of the table in force.
     pub fn source(&self) -> Option<RouteSource> {
-        let table = self.table.read().expect("not poisoned");
+        let table = self.table.read();
         table.as_ref().map(|(_, source)| *source)
     }
 
@@ -63,7 +64,7 @@
 
     /// Puts a table into force if its revision is newer. Returns whether it was.
     pub fn apply_if_newer(&self, table: RouteTable, source: RouteSource) -> bool {
-        let mut current = self.table.write().expect("not poisoned");
+        let mut current = self.table.write();
         let before = current.as_ref().map(|(table, _)| table.revision);
         if before.is_some_and(|known| known >= table.revision) {
             return false;
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
 
 use amaranth_kernel::ejection::{self, UpstreamHealth};
 use amaranth_kernel::placement::{LoadEstimate, PlacementCandidate, PlacementDecision, place};
 use amaranth_kernel::upstream_registry::{RegistryChange, UpstreamNotice, UpstreamRegistry};
 use amaranth_net::clock::steady_ms;
+use amaranth_net::state_lock::{StateMutex, StateRwLock};
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::{InFlightCount, PlacementDemand};
 
@@ -23,9 +24,9 @@
     /// Connections to the upstreams.
     pub connection_pool: Arc<ConnectionPool>,
     data_centre: DataCentreId,
-    registry: RwLock<UpstreamRegistry>,
-    estimates: Mutex<HashMap<UpstreamId, LoadEstimate>>,
-    batch_runs: Mutex<Vec<BatchRun>>,
+    registry: StateRwLock<UpstreamRegistry>,
+    estimates: StateMutex<HashMap<UpstreamId, LoadEstimate>>,
+    batch_runs: StateMutex<Vec<BatchRun>>,
     next_run: AtomicU64,
     changed: Notify,
     /// Cancelled when the first upstream is announced.
@@ -72,9 +73,9 @@
         Self {
             connection_pool: Arc::new(ConnectionPool::new()),
             data_centre,
-            registry: RwLock::new(UpstreamRegistry::new()),
-            estimates: Mutex::new(HashMap::new()),
-            batch_runs: Mutex::default(),
+            registry: StateRwLock::new(UpstreamRegistry::new()),
+            estimates: StateMutex::new(HashMap::new()),
+            batch_runs: StateMutex::default(),
             next_run: AtomicU64::new(0),
             changed: Notify::new(),
             first_announced: CancellationToken::new(),
@@ -93,7 +94,7 @@
 
     /// Returns the groups that have an upstream, in no particular order.
     pub fn groups(&self) -> Vec<UpstreamGroupId> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let groups: HashSet<_> = registry
             .iter()
             .map(|(_, notice)| notice.group.clone())
@@ -103,7 +104,7 @@
 
     /// Returns what this instance has in flight at each upstream; idle upstreams are left out.
     pub fn counts(&self) -> Vec<InFlightCount> {
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let busy = estimates.iter().filter(|(_, estimate)| estimate.own > 0);
         let counts = busy.map(|(upstream, estimate)| InFlightCount {
             upstream: upstream.clone(),
@@ -116,7 +117,7 @@
 
     /// Preempts the newest batch item at an upstream, as it loses the least progress.
     pub fn preempt(&self, upstream: &UpstreamId) {
-        let runs = self.batch_runs.lock().expect("not poisoned");
+        let runs = self.batch_runs.lock();
         let mut newest = runs.iter().rev();
         let run = newest.find(|run| run.upstream == *upstream && !run.preempted.is_cancelled());
         if let Some(run) = run {
@@ -132,7 +133,7 @@
         group: &UpstreamGroupId,
         excluded: &[UpstreamId],
     ) -> Vec<(UpstreamId, UpstreamNotice)> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let serving = registry.iter().filter(|(upstream, notice)| {
             notice.group == *group && !notice.leaving && !excluded.contains(upstream)
         });
@@ -150,7 +151,7 @@
         excluded: &[UpstreamId],
     ) -> Vec<UpstreamId> {
         let serving = self.serving(group, excluded);
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let health = |upstream| {
             estimates
                 .get(upstream)
@@ -168,7 +169,7 @@
 
     /// Returns the address of an upstream; `None` if it is unknown.
     pub fn address(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         registry.get(upstream).map(|notice| notice.address)
     }
 
@@ -179,7 +180,7 @@
         load: f64,
         batch: bool,
     ) -> Option<UpstreamPermit> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let notice = registry.get(upstream).filter(|notice| !notice.leaving)?;
         let key = ConnectionKey {
             address: notice.address,
@@ -187,7 +188,7 @@
         };
         let has_free_slot = load < f64::from(notice.slots);
         drop(registry);
-        let mut estimates = self.estimates.lock().expect("not poisoned");
+        let mut estimates = self.estimates.lock();
         let estimate = estimates.entry(upstream.clone()).or_default();
         estimate.own += 1;
         estimate.own_batch += u32::from(batch);
@@ -207,14 +208,11 @@
     fn register_batch_run(&self, upstream: &UpstreamId) -> (u64, CancellationToken) {
         let number = self.next_run.fetch_add(1, Ordering::Relaxed);
         let preempted = CancellationToken::new();
-        self.batch_runs
-            .lock()
-            .expect("not poisoned")
-            .push(BatchRun {
-                number,
-                upstream: upstream.clone(),
-                preempted: preempted.clone(),
-            });
+        self.batch_runs.lock().push(BatchRun {
+            number,
+            upstream: upstream.clone(),
+            preempted: preempted.clone(),
+        });
         (number, preempted)
     }
 
@@ -223,7 +221,7 @@
         self.first_announced.cancel();
         let seq = notice.sequence;
         let group = notice.group.clone();
-        let mut registry = self.registry.write().expect("not poisoned");
+        let mut registry = self.registry.write();
         let change = registry.announce(upstream.clone(), notice);
         drop(registry);
         if change != RegistryChange::None {
@@ -238,7 +236,7 @@
 
     /// Applies the announcements that no newer one overrules any more.
     pub fn settle(&self) {
-        let mut registry = self.registry.write().expect("not poisoned");
+        let mut registry = self.registry.write();
         let settled = registry.settle(steady_ms());
         drop(registry);
         for (upstream, change) in settled {
@@ -251,11 +249,7 @@
 
     /// Removes an upstream and drops idle connections to it.
     pub fn remove(&self, upstream: &UpstreamId) {
-        let change = self
-            .registry
-            .write()
-            .expect("not poisoned")
-            .remove(upstream);
+        let change = self.registry.write().remove(upstream);
         if change == RegistryChange::Gone {
             log::info!("event=upstream_changed upstream={upstream} change=Gone");
             self.forget_upstream(upstream);
@@ -264,7 +258,7 @@
 
     /// Removes every upstream that is not in `present`.
     pub fn retain(&self, present: &[UpstreamId]) {
-        let gone = self.registry.write().expect("not poisoned").retain(present);
+        let gone = self.registry.write().retain(present);
         for upstream in gone {
             log::info!("event=upstream_changed upstream={upstream} change=Gone source=newest");
             self.forget_upstream(&upstream);
@@ -273,7 +267,7 @@
 
     /// Number of known upstreams, including those that are leaving.
     pub fn len(&self) -> usize {
-        self.registry.read().expect("not poisoned").len()
+        self.registry.read().len()
     }
 
     /// Whether no upstream is known.
@@ -283,7 +277,7 @@
 
     fn forget_upstream(&self, upstream: &UpstreamId) {
         self.connection_pool.forget(upstream.as_str());
-        let mut estimates = self.estimates.lock().expect("not poisoned");
+        let mut estimates = self.estimates.lock();
         if let Some(estimate) = estimates.get_mut(upstream) {
             // Requests in flight stay counted until they end.
             let (own, own_batch) = (estimate.own, estimate.own_batch);
@@ -303,7 +297,7 @@
         excluded: &[UpstreamId],
     ) -> PoolStep {
         let serving = self.serving(group, excluded);
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let idle = LoadEstimate::default();
         let candidates = serving.iter().map(|(upstream, notice)| PlacementCandidate {
             slots: notice.slots,
@@ -362,7 +356,7 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut LoadEstimate)) {
-        let mut estimates = self.pool.estimates.lock().expect("not poisoned");
+        let mut estimates = self.pool.estimates.lock();
         if let Some(estimate) = estimates.get_mut(&self.upstream) {
             change(estimate);
         }
@@ -377,7 +371,7 @@
             estimate.own_batch -= u32::from(run.is_some());
         });
         if let Some((number, _)) = run {
-            let mut runs = self.pool.batch_runs.lock().expect("not poisoned");
+            let mut runs = self.pool.batch_runs.lock();
             runs.retain(|run| run.number != number);
         }
         self.pool.changed.notify_one();
--- a/crates/serve/tests/panicking_calls.rs
+++ b/crates/serve/tests/panicking_calls.rs
@@ -1,9 +1,12 @@
 //! A panic in the task of one call.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_serve::answer::{Answer, BrokenBody, plain, relay_answer};
+use amaranth_serve::batch::replica::JobReplica;
 use amaranth_serve::listener::{self, ConnectionLimits};
 use amaranth_serve::panic_guard::TaskGuard;
 use bytes::Bytes;
@@ -40,6 +43,14 @@
 }
 
 fn start() -> (SocketAddr, TaskTracker) {
+    start_with(answer)
+}
+
+fn start_with<F, A>(answer: F) -> (SocketAddr, TaskTracker)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Answer> + Send + 'static,
+{
     let listener = listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let address = listener.local_addr().unwrap();
     let limits = || ConnectionLimits {
@@ -117,3 +128,27 @@
     guard.panicked.cancelled().await;
     assert_eq!(guard.tasks.len(), 1, "the other tasks go on");
 }
+
+/// A lock that is held during a panic is free again, for calls and for other tasks.
+#[tokio::test]
+async fn a_panic_while_a_lock_is_held_does_not_end_later_calls() {
+    let replica = Arc::new(JobReplica::new());
+    let reads = replica.clone();
+    let answer = move |call: Request<Incoming>| {
+        let replica = reads.clone();
+        async move {
+            let panics = call.uri().path() == "/panic";
+            replica.with_table(|_| assert!(!panics, "the call panics"));
+            plain(StatusCode::OK, "fine")
+        }
+    };
+    let (address, _) = start_with(answer);
+    for path in ["/", "/panic", "/", "/panic", "/"] {
+        let mut connection = TcpStream::connect(address).await.unwrap();
+        send(&mut connection, path).await;
+        let expected = if path == "/" { "fine" } else { "failed" };
+        let received = read_until(&mut connection, expected).await;
+        assert!(received.ends_with(expected), "{path}: {received:?}");
+    }
+    assert!(!replica.is_loaded());
+}
