--- a/crates/serve/src/caller_stream.rs
+++ b/crates/serve/src/caller_stream.rs
@@ -2,9 +2,10 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::task::{Context, Poll};
 
+use amaranth_net::state_lock::StateMutex;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -42,12 +43,12 @@
 
 /// Records the phases of a connection. Shared by its stream and its calls.
 #[derive(Debug, Clone)]
-pub struct PhaseClock(Arc<Mutex<ClockState>>);
+pub struct PhaseClock(Arc<StateMutex<ClockState>>);
 
 impl PhaseClock {
     /// Creates a clock for a connection that was just accepted.
     pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(ClockState {
+        Self(Arc::new(StateMutex::new(ClockState {
             start: start_now(LinkPhase::Idle),
             is_write_blocked: false,
         })))
@@ -83,7 +84,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ClockState> {
-        self.0.lock().expect("not poisoned")
+        self.0.lock()
     }
 }
 
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{
@@ -10,6 +10,7 @@
 };
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
+use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::PlacementDemand;
@@ -53,7 +54,7 @@
     pub codec: UpstreamCodec,
     /// Refuses requests whose prompts crash upstreams.
     pub quarantine: Arc<QuarantineService>,
-    budget: Mutex<RetryBudget>,
+    budget: StateMutex<RetryBudget>,
 }
 
 impl ForwardContext {
@@ -67,7 +68,7 @@
             placement,
             codec,
             quarantine,
-            budget: Mutex::new(RetryBudget::new()),
+            budget: StateMutex::new(RetryBudget::new()),
         }
     }
 }
@@ -123,7 +124,7 @@
         caller_timeout_ms: Option<u64>,
     ) -> Self {
         let limit_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        context.budget.lock().expect("not poisoned").add_request();
+        context.budget.lock().add_request();
         Self {
             context,
             group,
@@ -263,7 +264,7 @@
     }
 
     fn decide_next(&self, proof: FailureProof, bounds: AttemptBounds) -> AttemptDecision {
-        let mut budget = self.context.budget.lock().expect("not poisoned");
+        let mut budget = self.context.budget.lock();
         decide_after_failure(self.count, proof, bounds, &mut budget)
     }
 
--- a/crates/serve/src/forward_run/silence_watch.rs
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -116,7 +116,7 @@
             .await
         {
             PoolStep::Send(permit) => {
-                let mut budget = context.budget.lock().expect("not poisoned");
+                let mut budget = context.budget.lock();
                 may_take_place(permit.has_free_slot, &mut budget).then_some(permit)
             }
             PoolStep::Refuse { .. } | PoolStep::NoUpstream => None,
