Test quarantined parts again, with a bound on the upstreams that they crash

Callers whose prompts a wrong rule blamed were refused for ten minutes, and items with them waited as long. Then every rule ended by time alone, and a part that was still deadly came back with all that had waited for it.

Cause: a rule had an end, but nothing that asked whether its part still crashes upstreams.

A rule now lasts until an answer ends it, and is half-open three times at most over the whole fleet, 30 s, 300 s and 3,000 s apart. The first judge grants a test by a record on the log, the member named there lets one request or item through within 10 s or gives the test back. Requests are also checked once more when they are sent: a rule may have come while they waited for a place.

Existing tests changed only where they build a rule (a new field) or the service (the member's name).

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rollout;
 pub mod route_table;
 pub mod routing;
+pub mod rule_tests;
 pub mod service_level;
 pub mod setting_table;
 pub mod slot_allocator;
--- a/crates/kernel/tests/prompt_quarantine.rs
+++ b/crates/kernel/tests/prompt_quarantine.rs
@@ -14,6 +14,7 @@
     QuarantineRule {
         parts: parts(names),
         until_ms,
+        test: None,
     }
 }
 
--- a/crates/kernel/tests/quarantine_load.rs
+++ b/crates/kernel/tests/quarantine_load.rs
@@ -223,7 +223,11 @@
     fn judge(&mut self) {
         for parts in self.evidence.convict(self.now_ms) {
             let until_ms = self.now_ms + RULE_LIFETIME_MS;
-            let rule = QuarantineRule { parts, until_ms };
+            let rule = QuarantineRule {
+                parts,
+                until_ms,
+                test: None,
+            };
             self.schedule(MESSAGE_MS, SimEvent::InForce(rule));
         }
         if let Some(due_ms) = self.evidence.next_judgement_ms(self.now_ms) {
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -182,10 +182,7 @@
     }
 
     fn is_quarantined(&self) -> bool {
-        self.context
-            .quarantine
-            .refusal(&self.shared_parts)
-            .is_some()
+        self.context.quarantine.is_held(&self.shared_parts)
     }
 
     async fn run_once(&mut self) -> ItemStep {
@@ -317,7 +314,7 @@
             return ItemStep::End(ItemRunEnd::Errored);
         };
         self.shared_parts = request.shared_parts.clone();
-        if self.is_quarantined() {
+        if self.context.quarantine.is_held_at_send(&self.shared_parts) {
             return ItemStep::Hold;
         }
         let limits = AttemptLimits {
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -244,9 +244,9 @@
     }
 
     async fn acquire_upstream(&self, resuming: bool) -> Result<UpstreamPermit, RequestFailure> {
-        if let Some(remaining) = self.context.quarantine.refusal(&self.request.shared_parts) {
-            let why = "its prompt crashes upstreams";
-            return Err(self.give_up(remaining.as_millis() as u64, why));
+        let parts = &self.request.shared_parts;
+        if let Some(remaining) = self.context.quarantine.refusal(parts) {
+            return Err(self.refuse_prompt(remaining));
         }
         let objective = Duration::from_millis(self.route.objective_ms);
         // A resumed or retried request may use all its remaining time: refusing it would waste the
@@ -264,13 +264,20 @@
             .acquire(&self.group, demand, &self.excluded)
             .await;
         let (retry_after_ms, why) = match step {
-            PoolStep::Send(permit) => return Ok(permit),
+            PoolStep::Send(permit) => match self.context.quarantine.admit(parts) {
+                None => return Ok(permit),
+                Some(remaining) => return Err(self.refuse_prompt(remaining)),
+            },
             PoolStep::Refuse { retry_after_ms } => (retry_after_ms, "all upstreams are full"),
             PoolStep::NoUpstream => (NO_UPSTREAM_RETRY_MS, "no upstream is available"),
         };
         Err(self.give_up(retry_after_ms, why))
     }
 
+    fn refuse_prompt(&self, remaining: Duration) -> RequestFailure {
+        self.give_up(remaining.as_millis() as u64, "its prompt crashes upstreams")
+    }
+
     /// Failure of a request that is not attempted any more.
     fn give_up(&self, retry_after_ms: u64, why: &str) -> RequestFailure {
         let why = why.to_owned();
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -279,7 +279,8 @@
     let partitions = log.blob_partitions;
     let blob_committer = member_committer(&log, LogTopic::Blobs, partitions, &shards, work);
     let blobs = Arc::new(BlobStore::new(log.clone(), blob_committer));
-    let (quarantine, queues) = QuarantineService::new(quarantine_inbox);
+    let (quarantine, queues) =
+        QuarantineService::new(quarantine_inbox, placement.member().to_string());
     let rule_committer = member_committer(&log, LogTopic::Quarantine, 1, &shards, work);
     background.spawn(quarantine_task::run(
         quarantine.clone(),
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -11,7 +11,8 @@
 use amaranth_kernel::attempt_plan::{AnswerProgress, FailureCause};
 use amaranth_kernel::crash_evidence::CrashEvidence;
 use amaranth_kernel::hashing::hash_bytes;
-use amaranth_kernel::prompt_quarantine::PromptQuarantine;
+use amaranth_kernel::prompt_quarantine::{PromptQuarantine, PromptVerdict};
+use amaranth_kernel::rule_tests::test_due_ms;
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_wire::id::{PromptPartId, RequestId};
 use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
@@ -20,6 +21,7 @@
 
 use crate::attempt::{FailedAttempt, join_parts};
 use crate::crash_check::has_crashed;
+use crate::log_access::LogEntry;
 use crate::placement_service::ReceivedNotice;
 use crate::topic_follower::TopicUpdate;
 
@@ -43,6 +45,8 @@
 
 /// Rules against prompts that crash upstreams, shared by all instances.
 pub struct QuarantineService {
+    /// Name of this member, to which tests are granted.
+    member: String,
     quarantine: Mutex<PromptQuarantine>,
     evidence: Mutex<CrashEvidence>,
     outbox: mpsc::Sender<OutgoingNotice>,
@@ -57,6 +61,8 @@
     Lost(LossReport),
     /// Says that upstreams have answered requests with these parts.
     Survived(Vec<PromptPartId>),
+    /// Asks for a test of the rule with these parts.
+    TestWanted(Vec<PromptPartId>),
 }
 
 /// Queues between requests, other instances and the service's task.
@@ -71,11 +77,15 @@
 }
 
 impl QuarantineService {
-    /// Creates a service without rules, and the queues that
+    /// Creates the service of a member without rules, and the queues that
     /// [`run`](crate::quarantine_task::run) handles.
-    pub fn new(inbox: mpsc::Receiver<ReceivedNotice>) -> (Arc<Self>, QuarantineQueues) {
+    pub fn new(
+        inbox: mpsc::Receiver<ReceivedNotice>,
+        member: String,
+    ) -> (Arc<Self>, QuarantineQueues) {
         let (outbox, outgoing) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let service = Self {
+            member,
             quarantine: Mutex::default(),
             evidence: Mutex::default(),
             outbox,
@@ -95,18 +105,54 @@
         self.first_loaded.cancelled().await;
     }
 
-    /// Returns how long requests with these parts are still refused; `None` if they are not.
+    /// Returns how long a request with these parts is still refused; `None` if it is not, or may test
+    /// the rule.
     pub fn refusal(&self, parts: &[PromptPartId]) -> Option<Duration> {
+        let verdict = self.verdict(parts);
+        count_refusal(&verdict)
+    }
+
+    /// As [`refusal`](Self::refusal), for a request that is sent now. Begins the test if it is one.
+    pub fn admit(&self, parts: &[PromptPartId]) -> Option<Duration> {
+        let verdict = self.admission(parts);
+        count_refusal(&verdict)
+    }
+
+    /// Whether an item with these parts has to wait.
+    pub fn is_held(&self, parts: &[PromptPartId]) -> bool {
+        matches!(self.verdict(parts), PromptVerdict::Refused { .. })
+    }
+
+    /// As [`is_held`](Self::is_held), for an item that is sent now. Begins the test if it is one.
+    pub fn is_held_at_send(&self, parts: &[PromptPartId]) -> bool {
+        matches!(self.admission(parts), PromptVerdict::Refused { .. })
+    }
+
+    fn verdict(&self, parts: &[PromptPartId]) -> PromptVerdict {
+        if parts.is_empty() {
+            return PromptVerdict::Admitted;
+        }
+        let now_ms = unix_ms();
+        let (verdict, wanted) = self.with_quarantine(|quarantine| {
+            let verdict = quarantine.verdict(parts, now_ms);
+            (verdict, quarantine.request_tests(parts, now_ms))
+        });
+        for parts in wanted {
+            self.queue(OutgoingNotice::TestWanted(parts));
+        }
+        verdict
+    }
+
+    fn admission(&self, parts: &[PromptPartId]) -> PromptVerdict {
         if parts.is_empty() {
-            return None;
+            return PromptVerdict::Admitted;
         }
         let now_ms = unix_ms();
-        let until_ms = self.with_quarantine(|quarantine| {
-            let rule = quarantine.find_rule(parts, now_ms);
-            rule.map(|rule| rule.until_ms)
-        })?;
-        metrics::counter!("quarantined_requests_total").increment(1);
-        Some(Duration::from_millis(until_ms - now_ms))
+        let verdict = self.with_quarantine(|quarantine| quarantine.admit(parts, now_ms));
+        if verdict == PromptVerdict::Test {
+            log::warn!("event=prompt_test_begun parts={}", join_parts(parts));
+        }
+        verdict
     }
 
     /// Records that an upstream has answered a request with these parts.
@@ -117,6 +163,7 @@
         let now_ms = steady_ms();
         let reported = self.with_quarantine(|quarantine| quarantine.record_answer(parts, now_ms));
         if !reported.is_empty() {
+            self.finish_tests(parts, "answered");
             self.queue(OutgoingNotice::Survived(reported));
         }
     }
@@ -129,8 +176,10 @@
         let may_be_crash = failed.cause == FailureCause::ConnectionLost
             && failed.progress != AnswerProgress::Events;
         if !may_be_crash {
+            self.finish_tests(lost.parts, "unclear");
             return false;
         }
+        self.finish_tests(lost.parts, "lost");
         let now_ms = steady_ms();
         let parts = self.with_quarantine(|quarantine| quarantine.unanswered(lost.parts, now_ms));
         if parts.is_empty() || self.is_refused(&parts) {
@@ -171,18 +220,46 @@
         self.with_quarantine(|quarantine| quarantine.find_rule(parts, now_ms).is_some())
     }
 
+    /// Whether a rule is in force as it stands here, with no other test since.
+    pub(crate) fn is_current(&self, rule: &QuarantineRule) -> bool {
+        self.with_quarantine(|quarantine| {
+            let mut rules = quarantine.rules();
+            rules.any(|known| known.parts == rule.parts && known.test == rule.test)
+        })
+    }
+
+    fn finish_tests(&self, parts: &[PromptPartId], outcome: &str) {
+        let finished = self.with_quarantine(|quarantine| quarantine.finish_tests(parts));
+        for rule in finished {
+            log_test("prompt_test_ended", &rule, outcome);
+        }
+    }
+
     fn queue(&self, notice: OutgoingNotice) {
         if self.outbox.try_send(notice).is_err() {
             log_dropped("self");
         }
     }
 
-    /// Applies rules that were read from the log or from a peer.
+    /// Applies rules that were read from the log.
     pub fn apply(&self, update: TopicUpdate) {
-        let (entries, replaces) = match update {
-            TopicUpdate::Replace(entries) => (entries, true),
-            TopicUpdate::Append(entries) => (entries, false),
-        };
+        match update {
+            TopicUpdate::Replace(entries) => {
+                let present = self.apply_entries(entries, RuleSource::Snapshot);
+                self.with_quarantine(|quarantine| quarantine.retain_rules(&present));
+            }
+            TopicUpdate::Append(entries) => {
+                self.apply_entries(entries, RuleSource::Log);
+            }
+        }
+    }
+
+    /// Applies a peer's copy of the rules.
+    pub fn apply_copy(&self, entries: Vec<LogEntry>) {
+        self.apply_entries(entries, RuleSource::Snapshot);
+    }
+
+    fn apply_entries(&self, entries: Vec<LogEntry>, source: RuleSource) -> Vec<QuarantineRule> {
         let mut present = Vec::new();
         for entry in entries {
             let decoded = entry
@@ -190,9 +267,9 @@
                 .as_ref()
                 .map(|value| QuarantineRule::decode(value));
             match decoded {
-                None => self.remove_by_key(&entry.key),
+                None => self.remove_by_key(&entry.key, source),
                 Some(Ok(rule)) => {
-                    self.add_rule(rule.clone(), RuleSource::Log);
+                    self.add_rule(rule.clone(), source);
                     present.push(rule);
                 }
                 Some(Err(e)) => log::warn!(
@@ -203,29 +280,30 @@
                 ),
             }
         }
-        if replaces {
-            self.with_quarantine(|quarantine| quarantine.retain_rules(&present));
-        }
         self.loaded.store(true, Ordering::Relaxed);
         self.first_loaded.cancel();
+        present
     }
 
-    fn remove_by_key(&self, key: &str) {
+    fn remove_by_key(&self, key: &str, source: RuleSource) {
         let parts = self.with_quarantine(|quarantine| {
             let mut rules = quarantine.rules();
             let rule = rules.find(|rule| rule_key(&rule.parts) == key);
             rule.map(|rule| rule.parts.clone())
         });
         if let Some(parts) = parts {
-            self.remove_rule(&parts, RuleSource::Log);
+            self.remove_rule(&parts, source);
         }
     }
 
     pub(crate) fn add_rule(&self, rule: QuarantineRule, source: RuleSource) -> bool {
         let remaining_ms = rule.until_ms.saturating_sub(unix_ms());
         let parts = join_parts(&rule.parts);
-        let on_log = source == RuleSource::Log;
-        let is_new = self.with_quarantine(|quarantine| quarantine.add_rule(rule, on_log));
+        let is_new = self.with_quarantine(|quarantine| match source {
+            RuleSource::Log => quarantine.add_appended_rule(rule, &self.member),
+            RuleSource::Snapshot => quarantine.add_rule(rule, true),
+            RuleSource::Member | RuleSource::Own => quarantine.add_rule(rule, false),
+        });
         if is_new {
             log::warn!(
                 "event=prompt_quarantined parts={parts} source={source} remaining_ms={remaining_ms}"
@@ -249,8 +327,10 @@
 /// Where a rule, or its end, comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RuleSource {
-    /// The log, or a peer's copy of it.
+    /// An entry appended to the log.
     Log,
+    /// The newest entries of the log, or a peer's copy of them.
+    Snapshot,
     /// A datagram of another member.
     Member,
     /// The reports that this instance judges.
@@ -260,15 +340,39 @@
 impl fmt::Display for RuleSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Log => "log",
+            Self::Log | Self::Snapshot => "log",
             Self::Member => "member",
             Self::Own => "own",
         })
     }
 }
 
+fn count_refusal(verdict: &PromptVerdict) -> Option<Duration> {
+    match verdict {
+        PromptVerdict::Admitted | PromptVerdict::Test => None,
+        PromptVerdict::Refused { retry_ms } => {
+            metrics::counter!("quarantined_requests_total").increment(1);
+            Some(Duration::from_millis(*retry_ms))
+        }
+    }
+}
+
+/// Logs what became of a rule's test, with the tests that were spent and the time until the next one.
+pub(crate) fn log_test(event: &str, rule: &QuarantineRule, outcome: &str) {
+    let Some(test) = &rule.test else { return };
+    let next_ms = test_due_ms(rule).map(|due_ms| due_ms.saturating_sub(unix_ms()));
+    let next = next_ms.map_or_else(|| "none".to_owned(), |next_ms| next_ms.to_string());
+    log::warn!(
+        "event={event} parts={} number={} spent={} next_ms={next} outcome={outcome} member={}",
+        join_parts(&rule.parts),
+        test.number,
+        test.spent,
+        test.member,
+    );
+}
+
 /// Key of a rule on the log.
-pub(crate) fn rule_key(parts: &[PromptPartId]) -> String {
+pub fn rule_key(parts: &[PromptPartId]) -> String {
     format!("{:016x}", hash_bytes(join_parts(parts).as_bytes(), 0))
 }
 
--- a/crates/serve/src/quarantine_task.rs
+++ b/crates/serve/src/quarantine_task.rs
@@ -16,12 +16,12 @@
 
 use crate::attempt::join_parts;
 use crate::batch::commit::BatchCommitter;
-use crate::log_access::NewEntry;
+use crate::log_access::{LogError, NewEntry};
 use crate::member_name::MemberName;
 use crate::placement_service::PlacementService;
 use crate::quarantine_service::{
     MAX_QUEUED_MESSAGES, OutgoingNotice, QuarantineQueues, QuarantineService, RuleSource,
-    log_dropped, rule_key,
+    log_dropped, log_test, rule_key,
 };
 
 /// Name under which the members that judge are chosen.
@@ -86,6 +86,10 @@
         let message = match notice {
             OutgoingNotice::Survived(parts) => QuarantineMessage::Survived(parts),
             OutgoingNotice::Lost(report) => QuarantineMessage::Lost(report),
+            OutgoingNotice::TestWanted(parts) => QuarantineMessage::TestWanted {
+                parts,
+                member: self.placement.member().to_string(),
+            },
         };
         self.tell_judges(message).await;
     }
@@ -109,6 +113,7 @@
             QuarantineMessage::Ended(parts) => {
                 self.service.remove_rule(&parts, RuleSource::Member);
             }
+            QuarantineMessage::TestWanted { parts, member } => self.grant_test(&parts, &member),
         }
     }
 
@@ -166,8 +171,12 @@
             .service
             .with_evidence(|evidence| evidence.convict(now_ms));
         for parts in convicted {
-            let until_ms = unix_ms() + RULE_LIFETIME_MS;
-            self.put_in_force(QuarantineRule { parts, until_ms }).await;
+            let rule = QuarantineRule {
+                parts,
+                until_ms: unix_ms() + RULE_LIFETIME_MS,
+                test: None,
+            };
+            self.put_in_force(rule).await;
         }
     }
 
@@ -178,35 +187,74 @@
         }
     }
 
-    /// Writes a rule to the log or deletes it there, in the background.
+    /// Grants a member a test of a rule if this instance is the first judge and a test is due. The log
+    /// tells the member.
+    fn grant_test(&self, parts: &[PromptPartId], member: &str) {
+        if !self.is_first_judge() {
+            return;
+        }
+        let now_ms = unix_ms();
+        let granted = self
+            .service
+            .with_quarantine(|quarantine| quarantine.grant_test(parts, member, now_ms));
+        if let Some(rule) = granted {
+            log_test("prompt_test_granted", &rule, "open");
+            self.append_test(rule);
+        }
+    }
+
+    fn is_first_judge(&self) -> bool {
+        let judges = self.placement.preferred_members(JUDGE_TASK);
+        judges.first() == Some(self.placement.member())
+    }
+
+    /// Writes a rule with its last test to the log, in the background. A failed append isn't repeated:
+    /// the next request for a test makes a new one.
+    fn append_test(&self, rule: QuarantineRule) {
+        let committer = self.committer.clone();
+        let record = rule_record(&rule.parts, Some(&rule));
+        tokio::spawn(async move {
+            if let Err(e) = committer.append_records(vec![record], true).await {
+                log_not_appended(&e);
+            }
+        });
+    }
+
+    /// Writes a rule to the log or deletes it there, in the background. A rule that has ended or was
+    /// tested meanwhile isn't written any more.
     fn store(&self, parts: &[PromptPartId], rule: Option<&QuarantineRule>) {
         let committer = self.committer.clone();
-        let record = NewEntry {
-            key: rule_key(parts),
-            value: rule.map(|rule| rule.encode().into()),
-        };
+        let record = rule_record(parts, rule);
+        let (service, rule) = (self.service.clone(), rule.cloned());
         tokio::spawn(async move {
             for _ in 0..MAX_APPENDS {
+                if rule.as_ref().is_some_and(|rule| !service.is_current(rule)) {
+                    return;
+                }
                 match committer.append_records(vec![record.clone()], true).await {
                     Ok(_) => return,
-                    Err(e) => log::warn!(
-                        "event=quarantine_rule_not_appended error={:?}",
-                        e.to_string()
-                    ),
+                    Err(e) => log_not_appended(&e),
                 }
                 sleep(APPEND_RETRY_DELAY).await;
             }
         });
     }
 
-    /// Removes expired rules; the first judge also deletes them from the log.
+    /// Gives back tests that did not begin, and removes expired rules; the first judge also deletes
+    /// them from the log.
     fn expire(&self) {
         let now_ms = unix_ms();
+        let returned = self
+            .service
+            .with_quarantine(|quarantine| quarantine.return_tests(now_ms));
+        for rule in returned {
+            log_test("prompt_test_returned", &rule, "not_begun");
+            self.append_test(rule);
+        }
         let expired = self
             .service
             .with_quarantine(|quarantine| quarantine.expire(now_ms));
-        let judges = self.placement.preferred_members(JUDGE_TASK);
-        let is_first = judges.first() == Some(self.placement.member());
+        let is_first = self.is_first_judge();
         for rule in expired {
             log::info!(
                 "event=prompt_quarantine_expired parts={}",
@@ -259,3 +307,15 @@
         self.placement.send(&message, address).await;
     }
 }
+
+fn rule_record(parts: &[PromptPartId], rule: Option<&QuarantineRule>) -> NewEntry {
+    NewEntry {
+        key: rule_key(parts),
+        value: rule.map(|rule| rule.encode().into()),
+    }
+}
+
+fn log_not_appended(error: &LogError) {
+    let error = error.to_string();
+    log::warn!("event=quarantine_rule_not_appended error={error:?}");
+}
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -199,7 +199,7 @@
                     apply_notice(&placement.pool, codecs, entry);
                 }
             }
-            LogTopic::Quarantine => quarantine.apply(TopicUpdate::Append(entries)),
+            LogTopic::Quarantine => quarantine.apply_copy(entries),
             LogTopic::Batch | LogTopic::Progress | LogTopic::Blobs => {}
         }),
         apply_members: Box::new(move |names| set_members(&members, names)),
--- a/crates/serve/tests/start_wait.rs
+++ b/crates/serve/tests/start_wait.rs
@@ -54,7 +54,7 @@
         let pool = UpstreamPool::new("dc".parse().unwrap());
         let started = Instant::now();
         let (_, inbox) = quarantine_service::inbox();
-        let (quarantine, _queues) = QuarantineService::new(inbox);
+        let (quarantine, _queues) = QuarantineService::new(inbox, "m".to_owned());
         let at = |ms: Option<u64>| sleep(Duration::from_millis(ms.unwrap_or(10_000)));
         let configure = async {
             at(configured).await;
--- a/crates/wire/src/quarantine_message.rs
+++ b/crates/wire/src/quarantine_message.rs
@@ -26,6 +26,26 @@
     pub parts: Vec<PromptPartId>,
     /// When the rule expires, in milliseconds of Unix time.
     pub until_ms: u64,
+    /// The last test whether the parts still crash upstreams. Members of former versions send none, and
+    /// can't decode it in a datagram.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub test: Option<RuleTest>,
+}
+
+/// Lets one request or item through that a rule refuses. Of several with the same number, the first on
+/// the log counts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleTest {
+    /// Number of the test, counted from 1 for each rule.
+    pub number: u32,
+    /// Tests of the rule that may have run, with this one.
+    pub spent: u32,
+    /// When the test was granted, in milliseconds of Unix time.
+    pub at_ms: u64,
+    /// Name of the member that may run it.
+    pub member: String,
+    /// Whether that member has given it back unused.
+    pub returned: bool,
 }
 
 impl QuarantineRule {
@@ -64,4 +84,11 @@
     InForce(QuarantineRule),
     /// Ends the rule with these parts.
     Ended(Vec<PromptPartId>),
+    /// Asks for a test of the rule with these parts, as a request or an item waits for its end.
+    TestWanted {
+        /// Parts of the rule.
+        parts: Vec<PromptPartId>,
+        /// Name of the member that asks.
+        member: String,
+    },
 }
--- /dev/null
+++ b/crates/wire/tests/quarantine_message.rs
@@ -0,0 +1,85 @@
+//! Rules against prompts between members of different versions.
+
+use amaranth_wire::placement_message::PlacementMessage;
+use amaranth_wire::quarantine_message::{QuarantineMessage, QuarantineRule, RuleTest};
+use serde::{Deserialize, Serialize};
+
+/// A rule of the versions before tests.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct FormerRule {
+    parts: Vec<String>,
+    until_ms: u64,
+}
+
+/// A datagram of the versions before tests.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum FormerMessage {
+    Quarantine(FormerNotice),
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum FormerNotice {
+    InForce(FormerRule),
+}
+
+fn former_rule() -> FormerRule {
+    FormerRule {
+        parts: vec!["d".to_owned()],
+        until_ms: 7,
+    }
+}
+
+fn rule(test: Option<RuleTest>) -> QuarantineRule {
+    QuarantineRule {
+        parts: vec!["d".parse().unwrap()],
+        until_ms: 7,
+        test,
+    }
+}
+
+fn rule_test() -> RuleTest {
+    RuleTest {
+        number: 1,
+        spent: 1,
+        at_ms: 3,
+        member: "m".to_owned(),
+        returned: false,
+    }
+}
+
+#[test]
+fn former_versions_read_tested_rules_on_the_log() {
+    for test in [None, Some(rule_test())] {
+        let bytes = rule(test).encode();
+        let read: FormerRule = rmp_serde::from_slice(&bytes).unwrap();
+        assert_eq!(read, former_rule());
+    }
+}
+
+#[test]
+fn rules_of_former_versions_are_read_as_untested() {
+    let record = rmp_serde::to_vec_named(&former_rule()).unwrap();
+    assert_eq!(QuarantineRule::decode(&record).unwrap(), rule(None));
+    let message = FormerMessage::Quarantine(FormerNotice::InForce(former_rule()));
+    let datagram = rmp_serde::to_vec(&message).unwrap();
+    let read = PlacementMessage::decode(&datagram).unwrap();
+    let in_force = QuarantineMessage::InForce(rule(None));
+    assert_eq!(read, PlacementMessage::Quarantine(in_force));
+}
+
+#[test]
+fn former_versions_learn_new_rules_from_datagrams_and_ignore_requests_for_tests() {
+    let in_force = QuarantineMessage::InForce(rule(None));
+    let datagram = PlacementMessage::Quarantine(in_force).encode();
+    let read: FormerMessage = rmp_serde::from_slice(&datagram).unwrap();
+    let expected = FormerMessage::Quarantine(FormerNotice::InForce(former_rule()));
+    assert_eq!(read, expected);
+    let wanted = QuarantineMessage::TestWanted {
+        parts: rule(None).parts,
+        member: "m".to_owned(),
+    };
+    let datagram = PlacementMessage::Quarantine(wanted).encode();
+    assert!(rmp_serde::from_slice::<FormerMessage>(&datagram).is_err());
+    let read = PlacementMessage::decode(&datagram);
+    assert!(matches!(read, Ok(PlacementMessage::Quarantine(_))));
+}
