Keep one limit on connecting

CONNECT_TIMEOUT stood in connection_pool.rs and crash_check.rs, where the second said that it is the first. No behaviour changes; crash_check.rs passes as before.

--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -26,7 +26,7 @@
 
 /// Limit on connecting: many round trips between data centres, and far below the objective for a
 /// first event.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time after which a connection is dropped if the peer announced none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from an announced idle time, so that a request does not race with the peer's close.
--- a/crates/serve/src/crash_check.rs
+++ b/crates/serve/src/crash_check.rs
@@ -8,8 +8,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Limit on connecting: that of the connection pool.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+use crate::connection_pool::CONNECT_TIMEOUT;
+
 /// Time in which a process that ends closes its listener and the connections that it has accepted.
 const CLOSE_TIME: Duration = Duration::from_millis(30);
 /// Connections that are tried: a process that ends may still accept the first one.
