--- a/crates/serve/src/batch/held_items.rs
+++ b/crates/serve/src/batch/held_items.rs
@@ -14,15 +14,10 @@
 
 impl HeldItems {
     /// Number of items that are held back.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
 
-    /// Whether no item is held back.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Counts one more item.
     pub fn add(self: &Arc<Self>) -> HeldItem {
         self.0.fetch_add(1, Ordering::Relaxed);
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -122,7 +122,7 @@
         }
         let running = self.running.lock().expect("not poisoned");
         let count: usize = running.values().map(|job| job.items.len()).sum();
-        let held = self.context.held_items.len();
+        let held = self.context.held_items.count();
         let capacity = MAX_RUNNING_ITEMS.saturating_sub(count.saturating_sub(held));
         let now_ms = unix_ms();
         self.replica.with_table(|table| {
