Call a part that upstreams have answered by one name

It was 'survived' in the messages and 'answered' in the kernel. The name on the wire stays, or members of former versions would miss alibis: without the rename attribute the new test fails, as the datagram differs from theirs.

--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -60,7 +60,7 @@
     /// Reports a lost request whose upstream has crashed.
     Lost(LossReport),
     /// Says that upstreams have answered requests with these parts.
-    Survived(Vec<PromptPartId>),
+    Answered(Vec<PromptPartId>),
     /// Asks for a test of the rule with these parts.
     TestWanted(Vec<PromptPartId>),
 }
@@ -164,7 +164,7 @@
         let reported = self.with_quarantine(|quarantine| quarantine.record_answer(parts, now_ms));
         if !reported.is_empty() {
             self.finish_tests(parts, "answered");
-            self.queue(OutgoingNotice::Survived(reported));
+            self.queue(OutgoingNotice::Answered(reported));
         }
     }
 
--- a/crates/serve/src/quarantine_task.rs
+++ b/crates/serve/src/quarantine_task.rs
@@ -84,7 +84,7 @@
 impl QuarantineTask {
     async fn handle_notice(&self, notice: OutgoingNotice) {
         let message = match notice {
-            OutgoingNotice::Survived(parts) => QuarantineMessage::Survived(parts),
+            OutgoingNotice::Answered(parts) => QuarantineMessage::Answered(parts),
             OutgoingNotice::Lost(report) => QuarantineMessage::Lost(report),
             OutgoingNotice::TestWanted(parts) => QuarantineMessage::TestWanted {
                 parts,
@@ -99,7 +99,7 @@
         match message {
             QuarantineMessage::Lost(report) => self.record_report(report).await,
             QuarantineMessage::Accused(parts) => self.answer_accusation(&parts, from).await,
-            QuarantineMessage::Survived(parts) => {
+            QuarantineMessage::Answered(parts) => {
                 for part in parts {
                     self.acquit(&part).await;
                 }
@@ -139,10 +139,10 @@
         if alibis.is_empty() {
             return;
         }
-        let survived = QuarantineMessage::Survived(alibis);
+        let answered = QuarantineMessage::Answered(alibis);
         match from {
-            Some(from) => self.send(survived, from).await,
-            None => self.send_own(survived),
+            Some(from) => self.send(answered, from).await,
+            None => self.send_own(answered),
         }
     }
 
--- a/crates/wire/src/quarantine_message.rs
+++ b/crates/wire/src/quarantine_message.rs
@@ -79,7 +79,8 @@
     /// Asks which of these parts upstreams have answered.
     Accused(Vec<PromptPartId>),
     /// Says that upstreams have answered requests with these parts.
-    Survived(Vec<PromptPartId>),
+    #[serde(rename = "Survived")]
+    Answered(Vec<PromptPartId>),
     /// Puts a rule in force.
     InForce(QuarantineRule),
     /// Ends the rule with these parts.
--- a/crates/wire/tests/quarantine_message.rs
+++ b/crates/wire/tests/quarantine_message.rs
@@ -19,6 +19,7 @@
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 enum FormerNotice {
+    Survived(Vec<String>),
     InForce(FormerRule),
 }
 
@@ -67,6 +68,14 @@
     assert_eq!(read, PlacementMessage::Quarantine(in_force));
 }
 
+#[test]
+fn answered_parts_keep_their_name_of_former_versions() {
+    let former = FormerMessage::Quarantine(FormerNotice::Survived(vec!["d".to_owned()]));
+    let answered = QuarantineMessage::Answered(rule(None).parts);
+    let datagram = PlacementMessage::Quarantine(answered).encode();
+    assert_eq!(datagram, rmp_serde::to_vec(&former).unwrap());
+}
+
 #[test]
 fn former_versions_learn_new_rules_from_datagrams_and_ignore_requests_for_tests() {
     let in_force = QuarantineMessage::InForce(rule(None));
