Close connections whose answer lists close among other options

An upstream that answers with `Connection: close, x`, or with close in a second such header, ends the connection after the answer. It was kept for the next request, which could be lost on it: the header's whole first value was compared with close. Other options still leave the connection open.

--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -322,13 +322,17 @@
 
 /// Returns how long a connection may stay idle after an answer with these headers; `None` if it
 /// must be closed.
-fn reuse_timeout(headers: &http::HeaderMap) -> Option<Duration> {
-    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
-    let closes =
-        text(http::header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"));
+pub fn reuse_timeout(headers: &http::HeaderMap) -> Option<Duration> {
+    let mut options = headers.get_all(http::header::CONNECTION).into_iter();
+    let closes = options.any(|value| {
+        let options = value.to_str().unwrap_or_default().split(',');
+        let mut options = options.map(str::trim);
+        options.any(|option| option.eq_ignore_ascii_case("close"))
+    });
     if closes {
         return None;
     }
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let announced = text(http::HeaderName::from_static("keep-alive"));
     let seconds = announced.and_then(|value| {
         let timeout = value
