Answer the requests that wait in the accept queue when an instance stops

What callers saw: a connection that was opened just before an instance stopped accepting was reset, though the instance had 5 s left. The request was not read, so it wasn't lost by the instance, but its caller learned nothing about it.

Cause: closing a listener resets the connections in its queue. The accept loop ended at the token without emptying it.

What remains is a connection that arrives between the last accept and the close, or a request that crosses the close of an idle connection; HTTP/1.1 has no way to exclude the latter. Neither is read.

--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -1,12 +1,13 @@
 //! Accepts HTTP connections and serves calls on them, with a graceful shutdown.
 
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Request;
 use hyper::body::Incoming;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -58,4 +59,33 @@
             }
         }
     }
+    // Closing the listener resets the connections in its queue.
+    match take_queued(listener) {
+        Ok(queued) => {
+            for (stream, caller) in queued {
+                serve_one(stream, caller);
+            }
+        }
+        Err(e) => log::warn!("event=accept_failed error={:?}", e.to_string()),
+    }
+}
+
+/// Accepts the connections that wait for it, and closes the listener.
+fn take_queued(listener: TcpListener) -> Result<Vec<(TcpStream, SocketAddr)>> {
+    let listener = listener.into_std()?;
+    let mut queued = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, caller)) => {
+                stream.set_nonblocking(true)?;
+                queued.push((TcpStream::from_std(stream)?, caller));
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(queued),
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                log::warn!("event=accept_failed error={:?}", e.to_string());
+                return Ok(queued);
+            }
+        }
+    }
 }
