Deliver answers that are given before the end of a request's body

What callers saw: a caller that was still sending its body when it was answered 413, 404 or 400, or its head when it was answered 431, had its connection reset, and could lose the answer. The answer didn't say that the connection ends.

Cause: when hyper can't use a connection again, it is closed while bytes are unread, and the kernel resets it.

Change: the gateway marks an answer that is given before the end of the body. It says close, and after it the sending side is closed and what still comes is discarded for up to 1 s. Malformed heads end the same way.

--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -27,6 +27,11 @@
 /// Answer to a caller.
 pub type Answer = Response<AnswerBody>;
 
+/// Marks an answer that is given before its request's body was read to its end. The caller may still
+/// be sending, and the connection can't be used for another request.
+#[derive(Debug, Clone, Copy)]
+pub struct UnreadBody;
+
 /// Why a request isn't answered by an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RequestFailure {
--- a/crates/serve/src/caller_link.rs
+++ b/crates/serve/src/caller_link.rs
@@ -11,7 +11,7 @@
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{Answer, plain};
+use crate::answer::{Answer, UnreadBody, plain};
 use crate::caller_stream::{
     CallerStream, GuardedBody, LinkPhase, PhaseClock, PhaseStart, has_head_byte,
 };
@@ -31,7 +31,7 @@
 /// Idle time after which a connection is closed in a shutdown. Bytes that the kernel has received by
 /// then are read.
 const STOP_IDLE_TIME: Duration = Duration::from_millis(200);
-/// Longest wait for the caller's end of a connection whose last head wasn't read whole. Closing it
+/// Longest wait for the caller's end of a connection whose last request wasn't read whole. Closing it
 /// with unread bytes would reset it, and the caller could lose the answer.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Size of a read of bytes that are thrown away.
@@ -129,7 +129,7 @@
             if let Err(e) = ended {
                 calls.log_failure(caller, false, &e.to_string());
             }
-            if is_malformed {
+            if is_malformed || calls.clock.has_unread_body() {
                 linger(stream).await;
             }
         }
@@ -164,7 +164,11 @@
             true => refuse_head(&call),
             false => (self.answer)(call).await,
         };
-        if self.stop.is_cancelled() {
+        let has_unread_body = answer.extensions().get::<UnreadBody>().is_some();
+        if has_unread_body {
+            self.clock.set_unread_body();
+        }
+        if has_unread_body || self.stop.is_cancelled() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
@@ -257,7 +261,11 @@
 
 fn refuse_head(call: &Request<Incoming>) -> Answer {
     log::info!("event=head_too_large bytes={}", head_bytes(call));
-    plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "")
+    let mut answer = plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "");
+    if !call.body().is_end_stream() {
+        answer.extensions_mut().insert(UnreadBody);
+    }
+    answer
 }
 
 async fn end_with(mut stream: TcpStream, answer: &[u8]) {
--- a/crates/serve/src/caller_stream.rs
+++ b/crates/serve/src/caller_stream.rs
@@ -38,6 +38,8 @@
     start: PhaseStart,
     /// Whether the caller has yet to read bytes that were written.
     is_write_blocked: bool,
+    /// Whether an answer was given before the end of its request's body.
+    has_unread_body: bool,
 }
 
 /// Records the phases of a connection. Shared by its stream and its calls.
@@ -50,6 +52,7 @@
         Self(Arc::new(Mutex::new(ClockState {
             start: start_now(LinkPhase::Idle),
             is_write_blocked: false,
+            has_unread_body: false,
         })))
     }
 
@@ -59,6 +62,16 @@
         CallGuard(self.clone())
     }
 
+    /// Records that an answer is given before the end of its request's body.
+    pub fn set_unread_body(&self) {
+        self.lock().has_unread_body = true;
+    }
+
+    /// Whether an answer was given before the end of its request's body.
+    pub fn has_unread_body(&self) -> bool {
+        self.lock().has_unread_body
+    }
+
     /// The phase in which the connection waits for its caller to send; `None` in a call.
     pub fn waiting(&self) -> Option<PhaseStart> {
         let state = self.lock();
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -12,10 +12,10 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout};
 
-use crate::answer::{Answer, RequestFailure, plain};
+use crate::answer::{Answer, RequestFailure, UnreadBody, plain};
 use crate::attempt::{ForwardRequest, strip_connection_headers};
 use crate::batch::intake::{self, JobIntake, ReceivedJob};
 use crate::batch::job_reader::JobReader;
@@ -99,7 +99,7 @@
             },
             CallerCall::Malformed(why) => {
                 log::info!("event=call_malformed why={why:?}");
-                RequestFailure::Malformed(why).answer()
+                before_body(RequestFailure::Malformed(why).answer(), &body)
             }
         };
         if self.leaving.load(Ordering::Relaxed) {
@@ -117,11 +117,11 @@
                 "event=request_ended request={} outcome=refused why=no_configuration",
                 metadata.request
             );
-            return RequestFailure::Refused {
+            let refused = RequestFailure::Refused {
                 retry_after_ms: NO_CONFIGURATION_RETRY_MS,
                 why: "no configuration".to_owned(),
-            }
-            .answer();
+            };
+            return before_body(refused.answer(), &body);
         };
         let host = parts
             .headers
@@ -129,11 +129,12 @@
             .and_then(|host| host.to_str().ok())
             .unwrap_or("");
         let Some(route) = table.find(host, parts.uri.path()) else {
-            return online::refuse(metadata.request, "none", &table, RequestFailure::NoRoute);
+            let refused = online::refuse(metadata.request, "none", &table, RequestFailure::NoRoute);
+            return before_body(refused, &body);
         };
         match read_body(&parts, body, &table, route).await {
             Ok(body) => self.dispatch(parts, body, metadata, &table, route).await,
-            Err(e) => online::refuse(metadata.request, &route.name, &table, e),
+            Err(e) => with_unread_body(online::refuse(metadata.request, &route.name, &table, e)),
         }
     }
 
@@ -221,6 +222,19 @@
     }
 }
 
+/// Marks an answer that is given before any of the body was read, if the request has one.
+fn before_body(answer: Answer, body: &Incoming) -> Answer {
+    match body.is_end_stream() {
+        true => answer,
+        false => with_unread_body(answer),
+    }
+}
+
+fn with_unread_body(mut answer: Answer) -> Answer {
+    answer.extensions_mut().insert(UnreadBody);
+    answer
+}
+
 async fn read_body(
     parts: &Parts,
     mut body: Incoming,
