--- a/crates/kernel/src/upstream_registry.rs
+++ b/crates/kernel/src/upstream_registry.rs
@@ -105,6 +105,8 @@
     notices: HashMap<UpstreamId, UpstreamNotice>,
     newest_versions: HashMap<UpstreamId, (u64, u64)>,
     overruled: HashMap<UpstreamId, OverruledNotice>,
+    /// Starts of upstreams, in milliseconds of Unix time, that said in an answer that they leave.
+    left_starts: HashMap<UpstreamId, u64>,
 }
 
 /// An announcement that is the last one on the log, though one with a newer version was read before.
@@ -131,7 +133,8 @@
     }
 
     /// Applies an announcement. One that is older than the newest is only noted; see
-    /// [`settle`](Self::settle).
+    /// [`settle`](Self::settle). An upstream that said in an answer that it leaves stays leaving until
+    /// it starts again.
     pub fn announce(&mut self, upstream: UpstreamId, notice: UpstreamNotice) -> RegistryChange {
         let version = notice.version();
         let newest = self.newest_versions.get(&upstream);
@@ -163,9 +166,16 @@
         due.into_iter().map(apply).collect()
     }
 
-    fn apply(&mut self, upstream: UpstreamId, notice: UpstreamNotice) -> RegistryChange {
+    fn apply(&mut self, upstream: UpstreamId, mut notice: UpstreamNotice) -> RegistryChange {
         let version = notice.version();
         self.newest_versions.insert(upstream.clone(), version);
+        match self.left_starts.get(&upstream) {
+            Some(&left) if notice.started_ms <= left => notice.leaving = true,
+            Some(_) => {
+                self.left_starts.remove(&upstream);
+            }
+            None => {}
+        }
         let change = match self.notices.get(&upstream) {
             Some(known) if known.address != notice.address => RegistryChange::Joined,
             Some(known) if known.started_ms != notice.started_ms => RegistryChange::Joined,
@@ -177,6 +187,23 @@
         change
     }
 
+    /// Records that an upstream, started at this time, said in an answer that it leaves. Has no effect
+    /// if it has started again since.
+    pub fn record_leaving(&mut self, upstream: &UpstreamId, started_ms: u64) -> RegistryChange {
+        let newest = self.newest_versions.get(upstream);
+        if newest.is_none_or(|&(newest_start, _)| started_ms != newest_start) {
+            return RegistryChange::None;
+        }
+        self.left_starts.insert(upstream.clone(), started_ms);
+        match self.notices.get_mut(upstream) {
+            Some(notice) if !notice.leaving => {
+                notice.leaving = true;
+                RegistryChange::Leaving
+            }
+            _ => RegistryChange::None,
+        }
+    }
+
     /// Removes an upstream.
     pub fn remove(&mut self, upstream: &UpstreamId) -> RegistryChange {
         self.overruled.remove(upstream);
@@ -184,6 +211,8 @@
             let notices = &self.notices;
             self.newest_versions
                 .retain(|known, _| notices.contains_key(known));
+            self.left_starts
+                .retain(|known, _| notices.contains_key(known));
         }
         match self.notices.remove(upstream) {
             Some(_) => RegistryChange::Gone,
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Creates a failure of a request that wasn't sent, as the upstream has left since it was chosen.
+    pub fn left(upstream: UpstreamId) -> Self {
+        Self {
+            proof: FailureProof::Unreachable,
+            ..Self::not_run(upstream, "the upstream has left".to_owned())
+        }
+    }
+
     /// Creates a failure of a request that may have run, before any of its answer arrived.
     pub fn may_have_run(upstream: UpstreamId, why: String) -> Self {
         Self {
@@ -200,6 +208,9 @@
     limits: AttemptLimits,
 ) -> AttemptEnd {
     let upstream = permit.upstream.clone();
+    if !permit.is_valid() {
+        return AttemptEnd::Failed(FailedAttempt::left(upstream));
+    }
     let outgoing = outgoing(codec, &permit, request, limits);
     let sent = timeout_at(
         limits.head_deadline,
@@ -255,7 +266,11 @@
     let proof = prove(name, statement(&metadata), answer.connection_use());
     let upstream = permit.upstream.clone();
     let status = answer.status().as_u16();
-    if let (AnswerProof::Outcome | AnswerProof::Refused, Some(report)) = (proof, metadata.load) {
+    let is_upstream = matches!(proof, AnswerProof::Outcome | AnswerProof::Refused);
+    if metadata.leaving && is_upstream && name == AnswerName::Own {
+        permit.record_leaving();
+    }
+    if let (true, Some(report)) = (is_upstream, metadata.load) {
         permit.record_load(report);
     }
     match proof {
--- a/crates/serve/tests/foreign_answers.rs
+++ b/crates/serve/tests/foreign_answers.rs
@@ -36,6 +36,7 @@
         request: text("request-id").map(str::to_owned),
         not_run: headers.contains_key("not-run"),
         wrong_upstream: status == StatusCode::MISDIRECTED_REQUEST,
+        leaving: false,
         load: text("load").map(|running| LoadReport {
             running: running.parse().unwrap(),
             waiting: 0,
