--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -182,10 +182,7 @@
     }
 
     fn is_quarantined(&self) -> bool {
-        self.context
-            .quarantine
-            .refusal(&self.shared_parts)
-            .is_some()
+        self.context.quarantine.is_held(&self.shared_parts)
     }
 
     async fn run_once(&mut self) -> ItemStep {
@@ -317,7 +314,7 @@
             return ItemStep::End(ItemRunEnd::Errored);
         };
         self.shared_parts = request.shared_parts.clone();
-        if self.is_quarantined() {
+        if self.context.quarantine.is_held_at_send(&self.shared_parts) {
             return ItemStep::Hold;
         }
         let limits = AttemptLimits {
@@ -421,10 +418,8 @@
                 Ok(Ok(None)) if framing.has_partial() => {
                     return Err(BrokenAnswer::lost("stream ended within an event"));
                 }
-                Ok(Ok(None)) if !answer.is_framed() && self.progress.last_event().is_none() => {
-                    return Err(BrokenAnswer::lost("connection ended before an event"));
-                }
                 Ok(Ok(None)) => {
+                    self.progress.check_end(events, answer.is_framed())?;
                     self.context.quarantine.record_answer(&self.shared_parts);
                     return Ok(());
                 }
@@ -474,6 +469,7 @@
             shared_parts: (self.context.codec.read_shared_parts)(&headers),
             headers,
             body: Bytes::from(input.body.to_vec()),
+            may_return: true,
         })
     }
 
--- a/crates/serve/src/caller_stream.rs
+++ b/crates/serve/src/caller_stream.rs
@@ -2,9 +2,10 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::task::{Context, Poll};
 
+use amaranth_net::state_lock::StateMutex;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -38,18 +39,21 @@
     start: PhaseStart,
     /// Whether the caller has yet to read bytes that were written.
     is_write_blocked: bool,
+    /// Whether an answer was given before the end of its request's body.
+    has_unread_body: bool,
 }
 
 /// Records the phases of a connection. Shared by its stream and its calls.
 #[derive(Debug, Clone)]
-pub struct PhaseClock(Arc<Mutex<ClockState>>);
+pub struct PhaseClock(Arc<StateMutex<ClockState>>);
 
 impl PhaseClock {
     /// Creates a clock for a connection that was just accepted.
     pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(ClockState {
+        Self(Arc::new(StateMutex::new(ClockState {
             start: start_now(LinkPhase::Idle),
             is_write_blocked: false,
+            has_unread_body: false,
         })))
     }
 
@@ -59,6 +63,16 @@
         CallGuard(self.clone())
     }
 
+    /// Records that an answer is given before the end of its request's body.
+    pub fn set_unread_body(&self) {
+        self.lock().has_unread_body = true;
+    }
+
+    /// Whether an answer was given before the end of its request's body.
+    pub fn has_unread_body(&self) -> bool {
+        self.lock().has_unread_body
+    }
+
     /// The phase in which the connection waits for its caller to send; `None` in a call.
     pub fn waiting(&self) -> Option<PhaseStart> {
         let state = self.lock();
@@ -83,7 +97,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ClockState> {
-        self.0.lock().expect("not poisoned")
+        self.0.lock()
     }
 }
 
--- a/crates/serve/src/connection_pool.rs
+++ b/crates/serve/src/connection_pool.rs
@@ -8,11 +8,13 @@
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_kernel::answer_match::ConnectionUse::{self, Fresh, Reused};
+use amaranth_net::state_lock::StateMutex;
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -26,12 +28,15 @@
 
 /// Limit on connecting: many round trips between data centres, and far below the objective for a
 /// first event.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time after which a connection is dropped if the peer announced none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from an announced idle time, so that a request does not race with the peer's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Content type of event streams, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Why a request got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -126,7 +131,7 @@
 /// Idle connections of this process, by key.
 #[derive(Default)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<ConnectionKey, Vec<IdleConnection>>>,
+    idle: StateMutex<HashMap<ConnectionKey, Vec<IdleConnection>>>,
 }
 
 /// An answer whose head was received. Dropping it before its end closes the connection.
@@ -134,6 +139,9 @@
     response: Response<Incoming>,
     key: ConnectionKey,
     connection: OpenConnection,
+    connection_use: ConnectionUse,
+    /// Chunk that was read before it was asked for.
+    peeked: Option<Bytes>,
     pool: Arc<ConnectionPool>,
 }
 
@@ -153,7 +161,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(&key) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answer(key, connection, response)),
+                Ok(response) => return Ok(self.answer(key, connection, Reused, response)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::from(e.error())),
@@ -163,7 +171,7 @@
         let mut connection = open(key.address).await?;
         metrics::counter!("connections_opened_total").increment(1);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answer(key, connection, response)),
+            Ok(response) => Ok(self.answer(key, connection, Fresh, response)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Unsent(e.error().to_string())),
                 None => Err(SendError::from(e.error())),
@@ -185,14 +193,14 @@
 
     /// Drops the idle connections to an owner.
     pub fn forget(&self, owner: &str) {
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.retain(|key, _| key.owner != owner);
     }
 
     /// Drops idle connections that have expired or are closed.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.retain(|_, connections| {
             connections.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
             !connections.is_empty()
@@ -203,19 +211,22 @@
         self: &Arc<Self>,
         key: ConnectionKey,
         connection: OpenConnection,
+        connection_use: ConnectionUse,
         response: Response<Incoming>,
     ) -> OpenAnswer {
         OpenAnswer {
             response,
             key,
             connection,
+            connection_use,
+            peeked: None,
             pool: self.clone(),
         }
     }
 
     fn take_idle(&self, key: &ConnectionKey) -> Option<OpenConnection> {
         let now = Instant::now();
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         let connections = idle.get_mut(key)?;
         while let Some(candidate) = connections.pop() {
             if now < candidate.until && candidate.connection.sender.is_ready() {
@@ -227,7 +238,7 @@
 
     fn keep(&self, key: ConnectionKey, connection: OpenConnection, idle_time: Duration) {
         let until = Instant::now() + idle_time;
-        let mut idle = self.idle.lock().expect("not poisoned");
+        let mut idle = self.idle.lock();
         idle.entry(key)
             .or_default()
             .push(IdleConnection { connection, until });
@@ -274,6 +285,11 @@
         self.response.headers()
     }
 
+    /// Whether the answer's connection was used by other requests before.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
+    }
+
     /// Whether the body has a length or chunks. Otherwise it ends with its connection, whether it is
     /// complete or not.
     pub fn is_framed(&self) -> bool {
@@ -281,8 +297,32 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Whether the answer can be an event stream: a success that states no other type.
+    pub fn may_be_events(&self) -> bool {
+        let content_type = self.headers().get(CONTENT_TYPE);
+        let is_other = content_type.is_some_and(|content_type| {
+            let bytes = content_type.as_bytes();
+            !bytes
+                .get(..EVENT_STREAM.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        self.status().is_success() && !is_other
+    }
+
+    /// Waits for a chunk of the body, which [`Self::next_chunk`] returns next. Returns whether there
+    /// is one.
+    pub async fn peek_chunk(&mut self) -> Result<bool> {
+        if self.peeked.is_none() {
+            self.peeked = self.next_chunk().await?;
+        }
+        Ok(self.peeked.is_some())
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
+        if let Some(chunk) = self.peeked.take() {
+            return Ok(Some(chunk));
+        }
         loop {
             match self.response.body_mut().frame().await {
                 None => return Ok(None),
@@ -322,13 +362,17 @@
 
 /// Returns how long a connection may stay idle after an answer with these headers; `None` if it
 /// must be closed.
-fn reuse_timeout(headers: &http::HeaderMap) -> Option<Duration> {
-    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
-    let closes =
-        text(http::header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"));
+pub fn reuse_timeout(headers: &http::HeaderMap) -> Option<Duration> {
+    let mut options = headers.get_all(http::header::CONNECTION).into_iter();
+    let closes = options.any(|value| {
+        let options = value.to_str().unwrap_or_default().split(',');
+        let mut options = options.map(str::trim);
+        options.any(|option| option.eq_ignore_ascii_case("close"))
+    });
     if closes {
         return None;
     }
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let announced = text(http::HeaderName::from_static("keep-alive"));
     let seconds = announced.and_then(|value| {
         let timeout = value
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_kernel::attempt_plan::{
@@ -10,10 +10,11 @@
 };
 use amaranth_kernel::retry::RetryBudget;
 use amaranth_kernel::route_table::{RouteKind, RouteRule};
+use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::PlacementDemand;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::RequestFailure;
 use crate::attempt::{
@@ -53,7 +54,7 @@
     pub codec: UpstreamCodec,
     /// Refuses requests whose prompts crash upstreams.
     pub quarantine: Arc<QuarantineService>,
-    budget: Mutex<RetryBudget>,
+    budget: StateMutex<RetryBudget>,
 }
 
 impl ForwardContext {
@@ -67,7 +68,7 @@
             placement,
             codec,
             quarantine,
-            budget: Mutex::new(RetryBudget::new()),
+            budget: StateMutex::new(RetryBudget::new()),
         }
     }
 }
@@ -123,7 +124,7 @@
         caller_timeout_ms: Option<u64>,
     ) -> Self {
         let limit_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        context.budget.lock().expect("not poisoned").add_request();
+        context.budget.lock().add_request();
         Self {
             context,
             group,
@@ -217,7 +218,11 @@
             head_wait: self.head_wait(permit.has_free_slot),
             end: Box::pin(async move {
                 let (pool, codec) = (&context.placement.pool, &context.codec);
-                attempt(pool, codec, permit, &request, limits).await
+                let end = attempt(pool, codec, permit, &request, limits).await;
+                match resume_after {
+                    None => end,
+                    Some(_) => begin_rest(end, limits.head_deadline).await,
+                }
             }),
         }
     }
@@ -259,7 +264,7 @@
     }
 
     fn decide_next(&self, proof: FailureProof, bounds: AttemptBounds) -> AttemptDecision {
-        let mut budget = self.context.budget.lock().expect("not poisoned");
+        let mut budget = self.context.budget.lock();
         decide_after_failure(self.count, proof, bounds, &mut budget)
     }
 
@@ -311,9 +316,9 @@
     }
 
     async fn acquire_upstream(&self, resuming: bool) -> Result<UpstreamPermit> {
-        if let Some(remaining) = self.context.quarantine.refusal(&self.request.shared_parts) {
-            let why = "its prompt crashes upstreams";
-            return Err(self.give_up(remaining.as_millis() as u64, why));
+        let parts = &self.request.shared_parts;
+        if let Some(remaining) = self.context.quarantine.refusal(parts) {
+            return Err(self.refuse_prompt(remaining));
         }
         let objective = Duration::from_millis(self.route.objective_ms);
         // A resumed or retried request may use all its remaining time: refusing it would waste the
@@ -331,13 +336,20 @@
             .acquire(&self.group, demand, &self.excluded)
             .await;
         let (retry_after_ms, why) = match step {
-            PoolStep::Send(permit) => return Ok(permit),
+            PoolStep::Send(permit) => match self.context.quarantine.admit(parts) {
+                None => return Ok(permit),
+                Some(remaining) => return Err(self.refuse_prompt(remaining)),
+            },
             PoolStep::Refuse { retry_after_ms } => (retry_after_ms, "all upstreams are full"),
             PoolStep::NoUpstream => (NO_UPSTREAM_RETRY_MS, "no upstream is available"),
         };
         Err(self.give_up(retry_after_ms, why))
     }
 
+    fn refuse_prompt(&self, remaining: Duration) -> RequestFailure {
+        self.give_up(remaining.as_millis() as u64, "its prompt crashes upstreams")
+    }
+
     /// Failure of a request that is not attempted any more.
     fn give_up(&self, retry_after_ms: u64, why: &str) -> RequestFailure {
         let why = why.to_owned();
@@ -372,6 +384,26 @@
     }
 }
 
+/// Waits until the rest of a stream has begun. An empty one doesn't continue it.
+async fn begin_rest(end: AttemptEnd, deadline: Instant) -> AttemptEnd {
+    let (mut answer, permit) = match end {
+        AttemptEnd::Answer(answer, permit) => (answer, permit),
+        AttemptEnd::Failed(failed) => return AttemptEnd::Failed(failed),
+    };
+    if !answer.may_be_events() {
+        return AttemptEnd::Failed(error_answer(&answer, &permit));
+    }
+    let upstream = permit.upstream.clone();
+    let failed = match timeout_at(deadline, answer.peek_chunk()).await {
+        Ok(Ok(true)) => return AttemptEnd::Answer(answer, permit),
+        Ok(Ok(false)) => FailedAttempt::may_have_run(upstream, "no event follows".to_owned()),
+        Ok(Err(e)) => FailedAttempt::from_error(upstream, &e),
+        Err(_) => FailedAttempt::may_have_run(upstream, "no event by the deadline".to_owned()),
+    };
+    permit.record_failure();
+    AttemptEnd::Failed(failed)
+}
+
 /// Failure of an attempt whose answer is an error.
 pub fn error_answer(answer: &OpenAnswer, permit: &UpstreamPermit) -> FailedAttempt {
     let why = format!("answered with {}", answer.status().as_u16());
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -2,36 +2,54 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
 
 use amaranth_kernel::ejection::{self, UpstreamHealth};
 use amaranth_kernel::placement::{LoadEstimate, PlacementCandidate, PlacementDecision, place};
 use amaranth_kernel::upstream_registry::{RegistryChange, UpstreamNotice, UpstreamRegistry};
 use amaranth_net::clock::steady_ms;
+use amaranth_net::state_lock::{StateMutex, StateRwLock};
 use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
-use amaranth_wire::placement_message::{InFlightCount, PlacementDemand};
+use amaranth_wire::placement_message::{InFlightCount, LeavingUpstream, PlacementDemand};
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::call::LoadReport;
 use crate::connection_pool::{ConnectionKey, ConnectionPool};
 
+/// Time for which the allocators are told of an upstream that leaves, as datagrams may be lost.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(3);
+/// Leaving upstreams that a placement request excludes at most, so that it fits into a datagram.
+const MAX_LEAVING_EXCLUDED: usize = 32;
+
 /// The upstreams of all groups, with the requests that this instance has in flight at them.
 pub struct UpstreamPool {
     /// Connections to the upstreams.
     pub connection_pool: Arc<ConnectionPool>,
     data_centre: DataCentreId,
-    registry: RwLock<UpstreamRegistry>,
-    estimates: Mutex<HashMap<UpstreamId, LoadEstimate>>,
-    batch_runs: Mutex<Vec<BatchRun>>,
+    registry: StateRwLock<UpstreamRegistry>,
+    estimates: StateMutex<HashMap<UpstreamId, LoadEstimate>>,
+    batch_runs: StateMutex<Vec<BatchRun>>,
+    /// Upstreams that said in an answer to this instance that they leave, until the allocators have
+    /// been told.
+    recently_left: StateMutex<Vec<LeftUpstream>>,
     next_run: AtomicU64,
     changed: Notify,
     /// Cancelled when the first upstream is announced.
     first_announced: CancellationToken,
 }
 
+/// An upstream that said that it leaves.
+struct LeftUpstream {
+    group: UpstreamGroupId,
+    report: LeavingUpstream,
+    said: Instant,
+}
+
 /// A batch item in flight.
 struct BatchRun {
     number: u64,
@@ -45,6 +63,8 @@
     pub upstream: UpstreamId,
     /// Key of the connections to use for the request.
     pub key: ConnectionKey,
+    /// When the upstream started, in milliseconds of Unix time.
+    started_ms: u64,
     /// Estimated load of the upstream, in requests, when it was chosen.
     pub load: f64,
     /// Whether the estimate leaves a slot free, so that the request should start at once.
@@ -72,9 +92,10 @@
         Self {
             connection_pool: Arc::new(ConnectionPool::new()),
             data_centre,
-            registry: RwLock::new(UpstreamRegistry::new()),
-            estimates: Mutex::new(HashMap::new()),
-            batch_runs: Mutex::default(),
+            registry: StateRwLock::new(UpstreamRegistry::new()),
+            estimates: StateMutex::new(HashMap::new()),
+            batch_runs: StateMutex::default(),
+            recently_left: StateMutex::default(),
             next_run: AtomicU64::new(0),
             changed: Notify::new(),
             first_announced: CancellationToken::new(),
@@ -93,7 +114,7 @@
 
     /// Returns the groups that have an upstream, in no particular order.
     pub fn groups(&self) -> Vec<UpstreamGroupId> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let groups: HashSet<_> = registry
             .iter()
             .map(|(_, notice)| notice.group.clone())
@@ -103,7 +124,7 @@
 
     /// Returns what this instance has in flight at each upstream; idle upstreams are left out.
     pub fn counts(&self) -> Vec<InFlightCount> {
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let busy = estimates.iter().filter(|(_, estimate)| estimate.own > 0);
         let counts = busy.map(|(upstream, estimate)| InFlightCount {
             upstream: upstream.clone(),
@@ -116,7 +137,7 @@
 
     /// Preempts the newest batch item at an upstream, as it loses the least progress.
     pub fn preempt(&self, upstream: &UpstreamId) {
-        let runs = self.batch_runs.lock().expect("not poisoned");
+        let runs = self.batch_runs.lock();
         let mut newest = runs.iter().rev();
         let run = newest.find(|run| run.upstream == *upstream && !run.preempted.is_cancelled());
         if let Some(run) = run {
@@ -132,7 +153,7 @@
         group: &UpstreamGroupId,
         excluded: &[UpstreamId],
     ) -> Vec<(UpstreamId, UpstreamNotice)> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let serving = registry.iter().filter(|(upstream, notice)| {
             notice.group == *group && !notice.leaving && !excluded.contains(upstream)
         });
@@ -142,15 +163,15 @@
         serving
     }
 
-    /// Adds the group's upstreams that are ejected for recent failures to the excluded ones, unless
-    /// none would be left.
+    /// Adds the group's upstreams that are leaving to the excluded ones, and those that are ejected
+    /// for recent failures, unless none would be left.
     pub fn with_ejected(
         &self,
         group: &UpstreamGroupId,
         excluded: &[UpstreamId],
     ) -> Vec<UpstreamId> {
         let serving = self.serving(group, excluded);
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let health = |upstream| {
             estimates
                 .get(upstream)
@@ -163,12 +184,23 @@
         let available = ejection::available(&healths, steady_ms());
         let rows = serving.into_iter().zip(available);
         let out = rows.filter_map(|((upstream, _), available)| (!available).then_some(upstream));
-        excluded.iter().cloned().chain(out).collect()
+        let leaving = self.leaving(group).into_iter();
+        excluded.iter().cloned().chain(out).chain(leaving).collect()
+    }
+
+    /// Returns some of the group's upstreams that are leaving: the allocator may not know of them.
+    fn leaving(&self, group: &UpstreamGroupId) -> Vec<UpstreamId> {
+        let registry = self.registry.read();
+        let leaving = registry
+            .iter()
+            .filter(|(_, notice)| notice.group == *group && notice.leaving);
+        let leaving = leaving.map(|(upstream, _)| upstream.clone());
+        leaving.take(MAX_LEAVING_EXCLUDED).collect()
     }
 
     /// Returns the address of an upstream; `None` if it is unknown.
     pub fn address(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         registry.get(upstream).map(|notice| notice.address)
     }
 
@@ -179,15 +211,16 @@
         load: f64,
         batch: bool,
     ) -> Option<UpstreamPermit> {
-        let registry = self.registry.read().expect("not poisoned");
+        let registry = self.registry.read();
         let notice = registry.get(upstream).filter(|notice| !notice.leaving)?;
         let key = ConnectionKey {
             address: notice.address,
             owner: upstream.to_string(),
         };
+        let started_ms = notice.started_ms;
         let has_free_slot = load < f64::from(notice.slots);
         drop(registry);
-        let mut estimates = self.estimates.lock().expect("not poisoned");
+        let mut estimates = self.estimates.lock();
         let estimate = estimates.entry(upstream.clone()).or_default();
         estimate.own += 1;
         estimate.own_batch += u32::from(batch);
@@ -197,6 +230,7 @@
         Some(UpstreamPermit {
             upstream: upstream.clone(),
             key,
+            started_ms,
             load,
             has_free_slot,
             batch: batch.then(|| self.register_batch_run(upstream)),
@@ -207,14 +241,11 @@
     fn register_batch_run(&self, upstream: &UpstreamId) -> (u64, CancellationToken) {
         let number = self.next_run.fetch_add(1, Ordering::Relaxed);
         let preempted = CancellationToken::new();
-        self.batch_runs
-            .lock()
-            .expect("not poisoned")
-            .push(BatchRun {
-                number,
-                upstream: upstream.clone(),
-                preempted: preempted.clone(),
-            });
+        self.batch_runs.lock().push(BatchRun {
+            number,
+            upstream: upstream.clone(),
+            preempted: preempted.clone(),
+        });
         (number, preempted)
     }
 
@@ -223,7 +254,7 @@
         self.first_announced.cancel();
         let seq = notice.sequence;
         let group = notice.group.clone();
-        let mut registry = self.registry.write().expect("not poisoned");
+        let mut registry = self.registry.write();
         let change = registry.announce(upstream.clone(), notice);
         drop(registry);
         if change != RegistryChange::None {
@@ -236,13 +267,58 @@
         }
     }
 
+    /// Applies the announcements that no newer one overrules any more.
+    pub fn settle(&self) {
+        let mut registry = self.registry.write();
+        let settled = registry.settle(steady_ms());
+        drop(registry);
+        for (upstream, change) in settled {
+            log::warn!("event=upstream_version_undone upstream={upstream} change={change:?}");
+            if change == RegistryChange::Joined {
+                self.forget_upstream(&upstream);
+            }
+        }
+    }
+
+    /// Records that an upstream leaves, as it said in an answer to this or another instance. Returns
+    /// its group if that was new.
+    pub fn record_leaving(&self, leaving: &LeavingUpstream) -> Option<UpstreamGroupId> {
+        let LeavingUpstream {
+            upstream,
+            started_ms,
+        } = leaving;
+        let mut registry = self.registry.write();
+        let change = registry.record_leaving(upstream, *started_ms);
+        let notice = registry.get(upstream);
+        let group = notice.map(|notice| notice.group.clone());
+        drop(registry);
+        if change != RegistryChange::Leaving {
+            return None;
+        }
+        log::info!("event=upstream_changed upstream={upstream} change={change:?} source=answer");
+        self.connection_pool.forget(upstream.as_str());
+        group
+    }
+
+    /// Returns the upstreams that told this instance lately that they leave, by group.
+    pub fn recently_left(&self) -> Vec<(UpstreamGroupId, LeavingUpstream)> {
+        let mut left = self.recently_left.lock();
+        left.retain(|left| left.said.elapsed() < LEAVING_REPORT_TIME);
+        left.iter()
+            .map(|left| (left.group.clone(), left.report.clone()))
+            .collect()
+    }
+
+    /// Whether this start of an upstream accepts requests.
+    fn accepts(&self, upstream: &UpstreamId, started_ms: u64) -> bool {
+        let registry = self.registry.read();
+        let notice = registry.get(upstream);
+        notice.is_some_and(|notice| !notice.leaving && notice.started_ms == started_ms)
+    }
+
     /// Removes an upstream and drops idle connections to it.
     pub fn remove(&self, upstream: &UpstreamId) {
-        let change = self
-            .registry
-            .write()
-            .expect("not poisoned")
-            .remove(upstream);
+        let change = self.registry.write().remove(upstream);
         if change == RegistryChange::Gone {
             log::info!("event=upstream_changed upstream={upstream} change=Gone");
             self.forget_upstream(upstream);
@@ -251,7 +327,7 @@
 
     /// Removes every upstream that is not in `present`.
     pub fn retain(&self, present: &[UpstreamId]) {
-        let gone = self.registry.write().expect("not poisoned").retain(present);
+        let gone = self.registry.write().retain(present);
         for upstream in gone {
             log::info!("event=upstream_changed upstream={upstream} change=Gone source=newest");
             self.forget_upstream(&upstream);
@@ -260,7 +336,7 @@
 
     /// Number of known upstreams, including those that are leaving.
     pub fn len(&self) -> usize {
-        self.registry.read().expect("not poisoned").len()
+        self.registry.read().len()
     }
 
     /// Whether no upstream is known.
@@ -270,7 +346,7 @@
 
     /// Records a failure of an upstream that is still waited for.
     pub fn record_failure(&self, upstream: &UpstreamId) {
-        let mut estimates = self.estimates.lock().expect("not poisoned");
+        let mut estimates = self.estimates.lock();
         if let Some(estimate) = estimates.get_mut(upstream) {
             estimate.health.record_failure(steady_ms());
         }
@@ -278,7 +354,7 @@
 
     fn forget_upstream(&self, upstream: &UpstreamId) {
         self.connection_pool.forget(upstream.as_str());
-        let mut estimates = self.estimates.lock().expect("not poisoned");
+        let mut estimates = self.estimates.lock();
         if let Some(estimate) = estimates.get_mut(upstream) {
             // Requests in flight stay counted until they end.
             let (own, own_batch) = (estimate.own, estimate.own_batch);
@@ -298,7 +374,7 @@
         excluded: &[UpstreamId],
     ) -> PoolStep {
         let serving = self.serving(group, excluded);
-        let estimates = self.estimates.lock().expect("not poisoned");
+        let estimates = self.estimates.lock();
         let idle = LoadEstimate::default();
         let candidates = serving.iter().map(|(upstream, notice)| PlacementCandidate {
             slots: notice.slots,
@@ -330,6 +406,31 @@
         token.unwrap_or_default()
     }
 
+    /// Whether the upstream still accepts requests. It may have left since the permit was issued.
+    pub fn is_valid(&self) -> bool {
+        self.pool.accepts(&self.upstream, self.started_ms)
+    }
+
+    /// Records that the upstream said that it leaves.
+    pub fn record_leaving(&self) {
+        let report = LeavingUpstream {
+            upstream: self.upstream.clone(),
+            started_ms: self.started_ms,
+        };
+        let Some(group) = self.pool.record_leaving(&report) else {
+            return;
+        };
+        let said = Instant::now();
+        let mut left = self.pool.recently_left.lock();
+        left.push(LeftUpstream {
+            group,
+            report,
+            said,
+        });
+        drop(left);
+        self.pool.changed.notify_one();
+    }
+
     /// Records the load that the upstream reported.
     pub fn record_load(&self, report: LoadReport) {
         let total = report.running.saturating_add(report.waiting);
@@ -357,7 +458,7 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut LoadEstimate)) {
-        let mut estimates = self.pool.estimates.lock().expect("not poisoned");
+        let mut estimates = self.pool.estimates.lock();
         if let Some(estimate) = estimates.get_mut(&self.upstream) {
             change(estimate);
         }
@@ -372,7 +473,7 @@
             estimate.own_batch -= u32::from(run.is_some());
         });
         if let Some((number, _)) = run {
-            let mut runs = self.pool.batch_runs.lock().expect("not poisoned");
+            let mut runs = self.pool.batch_runs.lock();
             runs.retain(|run| run.number != number);
         }
         self.pool.changed.notify_one();
