Keep the request at a successor when the silent upstream fails after all

Callers saw streams cut although another upstream was already at work on them. Cause: during a hand-over, any end of the silent upstream's attempt counted as hearing from it, also a lost connection. The successor was dropped and counted, then the failure was counted, and with two attempts allowed none was left: the replacement was given up for an upstream that had just failed.

Now a failure during a hand-over is recorded and leaves the request at the successor, with one failed attempt. Not more attempts than before: the upstream that failed counts once, the successor only if it fails, too.

--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -235,9 +235,9 @@
     ) -> std::result::Result<PlacedAnswer, FailedAttempt> {
         loop {
             let silence = running.silence();
-            let watched = self.watch(&silence, &mut running.end, resume_after).await;
-            match watched {
-                WatchEnd::Heard(end) => return self.accept(end),
+            let watched = self.watch(&silence, &mut running.end, Self::accept, resume_after);
+            match watched.await {
+                WatchEnd::Heard(answer) => return answer,
                 WatchEnd::Answered(answer) => return Ok(*answer),
                 WatchEnd::Left(successor) => running = successor,
             }
--- a/crates/serve/src/forward_run/silence_watch.rs
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -33,8 +33,8 @@
 
 /// How the wait for an upstream ended.
 pub enum WatchEnd<T> {
-    /// It was heard from.
-    Heard(T),
+    /// It was heard from, or has failed.
+    Heard(std::result::Result<T, FailedAttempt>),
     /// Another upstream has answered, and the silent one is to be left.
     Answered(Box<PlacedAnswer>),
     /// Another upstream works on the request, and the silent one is to be left.
@@ -49,18 +49,19 @@
 }
 
 impl ForwardRun {
-    /// Waits for a silent upstream, which is heard from when `heard` completes. It is left only for
-    /// another one that takes the request.
-    pub(crate) async fn watch<T>(
+    /// Waits for a silent upstream, which is heard from when `heard` completes; `judge` tells whether
+    /// it has failed. It is left only for another one that takes the request.
+    pub(crate) async fn watch<H, T>(
         &mut self,
         silence: &UpstreamSilence,
-        heard: impl Future<Output = T>,
+        heard: impl Future<Output = H>,
+        judge: impl Fn(&Self, H) -> std::result::Result<T, FailedAttempt>,
         resume_after: Option<u64>,
     ) -> WatchEnd<T> {
         let mut heard = pin!(heard);
         tokio::select! {
             biased;
-            heard = heard.as_mut() => return WatchEnd::Heard(heard),
+            heard = heard.as_mut() => return WatchEnd::Heard(judge(self, heard)),
             () = sleep_until(silence.since + silence.limit) => {}
         }
         self.context
@@ -71,12 +72,13 @@
         loop {
             let found = tokio::select! {
                 biased;
-                heard = heard.as_mut() => return WatchEnd::Heard(heard),
+                heard = heard.as_mut() => return WatchEnd::Heard(judge(self, heard)),
                 found = self.find_successor(silence) => found,
             };
             if let Some(permit) = found {
                 let successor = self.start_attempt(permit, resume_after);
-                match self.try_successor(silence, successor, heard.as_mut()).await {
+                let tried = self.try_successor(silence, successor, heard.as_mut(), &judge);
+                match tried.await {
                     SuccessorStep::End(end) => return end,
                     SuccessorStep::Failed(failed) => self.record_refused_successor(failed).await,
                 }
@@ -86,7 +88,7 @@
             }
             tokio::select! {
                 biased;
-                heard = heard.as_mut() => return WatchEnd::Heard(heard),
+                heard = heard.as_mut() => return WatchEnd::Heard(judge(self, heard)),
                 () = sleep(SUCCESSOR_SEARCH_PERIOD) => {}
             }
         }
@@ -123,19 +125,29 @@
         }
     }
 
-    /// Waits until either upstream is heard from, or both were silent for too long together.
-    async fn try_successor<T>(
+    /// Waits until either upstream is heard from, or both were silent for too long together. If the
+    /// silent one fails, the other keeps the request.
+    async fn try_successor<H, T>(
         &mut self,
         silence: &UpstreamSilence,
         mut successor: RunningAttempt,
-        heard: impl Future<Output = T>,
+        heard: impl Future<Output = H>,
+        judge: impl Fn(&Self, H) -> std::result::Result<T, FailedAttempt>,
     ) -> SuccessorStep<T> {
         let end = tokio::select! {
             biased;
             heard = heard => {
-                self.count.add(FailureProof::MayHaveRun);
-                self.log_silence(silence, "ended");
-                return SuccessorStep::End(WatchEnd::Heard(heard));
+                return SuccessorStep::End(match judge(self, heard) {
+                    Ok(heard) => {
+                        self.count.add(FailureProof::MayHaveRun);
+                        self.log_silence(silence, "ended");
+                        WatchEnd::Heard(Ok(heard))
+                    }
+                    Err(failed) => {
+                        self.record_failed_predecessor(failed).await;
+                        WatchEnd::Left(successor)
+                    }
+                });
             }
             end = &mut successor.end => end,
             () = sleep(MAX_OVERLAP) => {
@@ -163,6 +175,13 @@
         self.log_silence(silence, &format!("left successor={successor}"));
     }
 
+    async fn record_failed_predecessor(&mut self, failed: FailedAttempt) {
+        self.report_loss(&failed).await;
+        self.count.add(failed.proof);
+        self.log_failed_attempt(&failed, "Successor");
+        self.excluded.push(failed.upstream);
+    }
+
     async fn record_refused_successor(&mut self, failed: FailedAttempt) {
         self.report_loss(&failed).await;
         self.count.add(failed.proof);
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -124,8 +124,14 @@
         };
         let last_event = self.reader.position.last_event;
         let events = self.reader.read_events();
-        let answer = match self.run.watch(&silence, events, last_event).await {
-            WatchEnd::Heard(step) => return step,
+        let judge = |_: &ForwardRun, step| match step {
+            RelayStep::Failed(failed) => Err(failed),
+            step => Ok(step),
+        };
+        let watched = self.run.watch(&silence, events, judge, last_event);
+        let answer = match watched.await {
+            WatchEnd::Heard(Ok(step)) => return step,
+            WatchEnd::Heard(Err(failed)) => return RelayStep::Failed(failed),
             WatchEnd::Answered(answer) => Ok(*answer),
             WatchEnd::Left(successor) => {
                 self.reader.close();
