Give an upstream that takes a request over the full silence limit

Callers' streams were given to a third upstream 300 ms after the second one had them. Cause: the short limit of a first attempt at a free slot (0.6 of the objective) also held for a successor, as the silent upstream isn't counted before it is left. When it was left after 300 ms, the successor's 180 ms had passed: it was recorded as failed, and with three attempts allowed a third upstream was asked at once.

Now the short limit holds for the first attempt only, as before the hand-overs.

--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -196,7 +196,8 @@
     pub async fn open(&mut self, resume_after: Option<u64>) -> Result<PlacedAnswer> {
         loop {
             let permit = self.acquire_upstream(resume_after.is_some()).await?;
-            let running = self.start_attempt(permit, resume_after);
+            let head_wait = self.head_wait(permit.has_free_slot);
+            let running = self.start_attempt(permit, head_wait, resume_after);
             match self.await_answer(running, resume_after).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => self.record_failure(failed).await?,
@@ -204,8 +205,14 @@
         }
     }
 
-    /// Sends the request to an upstream. Dropping the attempt closes its connection.
-    fn start_attempt(&self, permit: UpstreamPermit, resume_after: Option<u64>) -> RunningAttempt {
+    /// Sends the request to an upstream, which counts as silent after `head_wait`. Dropping the attempt
+    /// closes its connection.
+    fn start_attempt(
+        &self,
+        permit: UpstreamPermit,
+        head_wait: Duration,
+        resume_after: Option<u64>,
+    ) -> RunningAttempt {
         let limits = AttemptLimits {
             head_deadline: self.deadline,
             remaining: Some(self.remaining()),
@@ -215,7 +222,7 @@
         RunningAttempt {
             upstream: permit.upstream.clone(),
             sent: Instant::now(),
-            head_wait: self.head_wait(permit.has_free_slot),
+            head_wait,
             end: Box::pin(async move {
                 let (pool, codec) = (&context.placement.pool, &context.codec);
                 let end = attempt(pool, codec, permit, &request, limits).await;
--- a/crates/serve/src/forward_run/silence_watch.rs
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -76,7 +76,7 @@
                 found = self.find_successor(silence) => found,
             };
             if let Some(permit) = found {
-                let successor = self.start_attempt(permit, resume_after);
+                let successor = self.start_attempt(permit, self.silence_limit(), resume_after);
                 let tried = self.try_successor(silence, successor, heard.as_mut(), &judge);
                 match tried.await {
                     SuccessorStep::End(end) => return end,
