--- a/crates/serve/src/placement_service.rs
+++ b/crates/serve/src/placement_service.rs
@@ -178,13 +178,8 @@
         }
     }
 
-    /// Returns the allocators of a group in order of preference. Only the largest machines are
-    /// eligible: the others have little processor time to spare.
-    fn allocators(&self, group: &UpstreamGroupId) -> Vec<MemberName> {
-        self.preferred_members(group.as_str())
-    }
-
-    /// Returns the members that share a task of the whole fleet, in order of preference.
+    /// Returns the members that share a task of the whole fleet, in order of preference. Only the
+    /// largest machines are eligible: the others have little processor time to spare.
     pub fn preferred_members(&self, task: &str) -> Vec<MemberName> {
         let members = self.members.read();
         let largest = members.iter().map(|member| member.weight).max();
@@ -202,7 +197,7 @@
         demand: PlacementDemand,
         excluded: &[UpstreamId],
     ) -> Option<HeldReply<'_>> {
-        for allocator in self.allocators(group) {
+        for allocator in self.preferred_members(group.as_str()) {
             if self.is_silent(allocator.address) {
                 continue;
             }
@@ -458,7 +453,7 @@
     async fn send_leaving(&self) {
         for (group, leaving) in self.pool.recently_left() {
             let message = PlacementMessage::Leaving(vec![leaving]);
-            for allocator in self.allocators(&group) {
+            for allocator in self.preferred_members(group.as_str()) {
                 if allocator != self.member {
                     self.send(&message, allocator.address).await;
                 }
@@ -470,7 +465,7 @@
     async fn send_counts(&self) -> bool {
         let mut allocators: Vec<MemberName> = Vec::new();
         for group in self.pool.groups() {
-            allocators.extend(self.allocators(&group));
+            allocators.extend(self.preferred_members(group.as_str()));
         }
         allocators.sort();
         allocators.dedup();
