Refuse jobs with items that can't be sent as they are

An item whose path couldn't be parsed was sent with the path '/', and one with an invalid header was accepted and then listed as failed. The job is now refused with 400, and a forwarded request holds a parsed path, so no other one can take its place.

--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -8,7 +8,8 @@
 use amaranth_net::telemetry::quote;
 use amaranth_wire::id::{PromptPartId, RequestId, UpstreamId};
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -36,7 +37,7 @@
     /// Method of the caller's request.
     pub method: Method,
     /// Path and query.
-    pub path: String,
+    pub path: PathAndQuery,
     /// Headers without the hop-by-hop ones.
     pub headers: HeaderMap,
     /// Parts of the prompt that other requests may have, too.
@@ -241,7 +242,7 @@
 ) -> Request<Full<Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.path.parse().unwrap_or_default();
+    *outgoing.uri_mut() = Uri::from(request.path.clone());
     *outgoing.headers_mut() = request.headers.clone();
     let metadata = AttemptMetadata {
         request: request.id.as_str(),
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -13,7 +13,7 @@
 use amaranth_wire::id::{JobId, PromptPartId, RequestId, UpstreamGroupId};
 use amaranth_wire::placement_message::PlacementDemand;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{Method, StatusCode};
 use rand::RngExt;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -22,6 +22,7 @@
 };
 use crate::batch::blobs::BlobStore;
 use crate::batch::held_items::{HeldItem, HeldItems};
+use crate::batch::item_head::ItemHead;
 use crate::batch::item_queue::ItemQueue;
 use crate::batch::job_reader::read_request;
 use crate::batch::progress::RunProgress;
@@ -453,21 +454,13 @@
 
     fn build_request(&self) -> Option<ForwardRequest> {
         let input = self.request.as_ref()?;
-        let mut headers = HeaderMap::new();
-        for (name, value) in &input.headers {
-            let name: HeaderName = name.parse().ok()?;
-            headers.insert(name, HeaderValue::from_str(value).ok()?);
-        }
-        headers.insert(
-            http::header::HOST,
-            HeaderValue::from_str(&self.pending.host).ok()?,
-        );
+        let head = ItemHead::new(input, &self.pending.host).ok()?;
         Some(ForwardRequest {
             id: self.pending.item.id.as_str().parse().ok()?,
             method: Method::POST,
-            path: input.path.clone(),
-            shared_parts: (self.context.codec.read_shared_parts)(&headers),
-            headers,
+            path: head.path,
+            shared_parts: (self.context.codec.read_shared_parts)(&head.headers),
+            headers: head.headers,
             body: Bytes::from(input.body.to_vec()),
             may_return: true,
         })
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderValue, Method, Request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -18,8 +19,9 @@
 use crate::answer::{Answer, RequestFailure, UnreadBody, plain};
 use crate::attempt::{ForwardRequest, strip_connection_headers};
 use crate::batch::intake::{self, JobIntake, ReceivedJob};
+use crate::batch::item_head::ItemHead;
 use crate::batch::job_reader::JobReader;
-use crate::call::{CallMetadata, CallerCall};
+use crate::call::{CallMetadata, CallerCall, ItemList};
 use crate::forward_run::ForwardContext;
 use crate::online;
 use crate::route_state::{RouteSource, RouteState};
@@ -159,11 +161,11 @@
                 _ => RequestFailure::Malformed("jobs are submitted with POST".to_owned()).answer(),
             };
         }
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let path = parts.uri.path_and_query().cloned();
         let mut request = ForwardRequest {
             id: metadata.request,
             method: parts.method,
-            path: path.to_owned(),
+            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             shared_parts: (self.forward.codec.read_shared_parts)(&parts.headers),
             headers: parts.headers,
             body,
@@ -188,7 +190,13 @@
         request: RequestId,
         quota: JobQuota,
     ) -> Answer {
-        let list = match (self.reader.codec.read_items)(&body) {
+        let host = parts
+            .headers
+            .get(HOST)
+            .and_then(|host| host.to_str().ok())
+            .unwrap_or("");
+        let list = (self.reader.codec.read_items)(&body).and_then(|list| check_items(list, host));
+        let list = match list {
             Ok(list) => list,
             Err(why) => {
                 log::info!("event=job_malformed job={request} why={why:?}");
@@ -199,11 +207,6 @@
             return RequestFailure::Malformed("the request id is not a valid job id".to_owned())
                 .answer();
         };
-        let host = parts
-            .headers
-            .get(HOST)
-            .and_then(|host| host.to_str().ok())
-            .unwrap_or("");
         let received = ReceivedJob {
             job,
             host: host.to_owned(),
@@ -223,6 +226,15 @@
     }
 }
 
+/// Checks that each item can be sent to an upstream as it is.
+fn check_items(list: ItemList, host: &str) -> std::result::Result<ItemList, String> {
+    for (item, request) in list.items.iter().zip(&list.requests) {
+        ItemHead::new(request, host)
+            .map_err(|why| format!("item {:?}: {why}", item.id.as_str()))?;
+    }
+    Ok(list)
+}
+
 /// Marks an answer that is given before any of the body was read, if the request has one.
 fn before_body(answer: Answer, body: &Incoming) -> Answer {
     match body.is_end_stream() {
--- a/crates/serve/tests/foreign_answers.rs
+++ b/crates/serve/tests/foreign_answers.rs
@@ -10,6 +10,7 @@
 use amaranth_serve::upstream_pool::{PoolStep, UpstreamPool};
 use amaranth_wire::placement_message::PlacementDemand;
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -48,7 +49,7 @@
     ForwardRequest {
         id: id.parse().unwrap(),
         method: Method::POST,
-        path: "/a".to_owned(),
+        path: PathAndQuery::from_static("/a"),
         headers: HeaderMap::new(),
         shared_parts: Vec::new(),
         body: Bytes::from_static(b"x"),
--- a/crates/serve/tests/leaving_upstream.rs
+++ b/crates/serve/tests/leaving_upstream.rs
@@ -9,6 +9,7 @@
 use amaranth_serve::upstream_pool::UpstreamPool;
 use amaranth_wire::id::UpstreamId;
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
 use tokio::net::TcpListener;
 use tokio::time::{Duration, Instant, timeout};
@@ -46,7 +47,7 @@
     let request = ForwardRequest {
         id: "r1".parse().unwrap(),
         method: Method::POST,
-        path: "/".to_owned(),
+        path: PathAndQuery::from_static("/"),
         headers: HeaderMap::new(),
         shared_parts: Vec::new(),
         body: Bytes::new(),
