Ask an upstream again that had no room for a silent upstream's request

Callers got 504 at their deadline although an upstream had been free for seconds. Cause: during the wait for a silent upstream, one that refused the request once was excluded until its end, so the wait looked every 200 ms at nothing.

Now a refusal excludes for 1 s only. A successor's refusal closes its connection (may_return), as for items, so that a second copy of it can't be taken for the next answer. Upstreams that lost the request or failed at it stay excluded, and refusals don't count against the attempts.

--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -197,7 +197,8 @@
         loop {
             let permit = self.acquire_upstream(resume_after.is_some()).await?;
             let head_wait = self.head_wait(permit.has_free_slot);
-            let running = self.start_attempt(permit, head_wait, resume_after);
+            let request = self.request.clone();
+            let running = self.start_attempt(permit, request, head_wait, resume_after);
             match self.await_answer(running, resume_after).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => self.record_failure(failed).await?,
@@ -205,11 +206,26 @@
         }
     }
 
+    /// Sends the request to an upstream that may refuse it and be asked again.
+    fn start_successor(&self, permit: UpstreamPermit, resume_after: Option<u64>) -> RunningAttempt {
+        let request = ForwardRequest {
+            may_return: true,
+            ..(*self.request).clone()
+        };
+        self.start_attempt(
+            permit,
+            Arc::new(request),
+            self.silence_limit(),
+            resume_after,
+        )
+    }
+
     /// Sends the request to an upstream, which counts as silent after `head_wait`. Dropping the attempt
     /// closes its connection.
     fn start_attempt(
         &self,
         permit: UpstreamPermit,
+        request: Arc<ForwardRequest>,
         head_wait: Duration,
         resume_after: Option<u64>,
     ) -> RunningAttempt {
@@ -218,7 +234,7 @@
             remaining: Some(self.remaining()),
             resume_after,
         };
-        let (context, request) = (self.context.clone(), self.request.clone());
+        let context = self.context.clone();
         RunningAttempt {
             upstream: permit.upstream.clone(),
             sent: Instant::now(),
--- a/crates/serve/src/forward_run/silence_watch.rs
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -19,6 +19,8 @@
 /// Longest time for which a request is at two upstreams. Engines must not work on one request
 /// together for more than 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
+/// Time after a refusal in which an upstream isn't asked for the same request again.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The upstream that a request waits for.
 #[derive(Debug, Clone)]
@@ -69,18 +71,25 @@
             .pool
             .record_failure(&silence.upstream);
         let mut is_logged = false;
+        let mut refused = Vec::new();
         loop {
             let found = tokio::select! {
                 biased;
                 heard = heard.as_mut() => return WatchEnd::Heard(judge(self, heard)),
-                found = self.find_successor(silence) => found,
+                found = self.find_successor(silence, &mut refused) => found,
             };
             if let Some(permit) = found {
-                let successor = self.start_attempt(permit, self.silence_limit(), resume_after);
+                let successor = self.start_successor(permit, resume_after);
                 let tried = self.try_successor(silence, successor, heard.as_mut(), &judge);
                 match tried.await {
                     SuccessorStep::End(end) => return end,
-                    SuccessorStep::Failed(failed) => self.record_refused_successor(failed).await,
+                    SuccessorStep::Failed(failed) => {
+                        if failed.proof == FailureProof::NotRun {
+                            let until = Instant::now() + REFUSAL_PAUSE;
+                            refused.push((failed.upstream.clone(), until));
+                        }
+                        self.record_failed_successor(failed).await;
+                    }
                 }
             } else if !is_logged {
                 is_logged = true;
@@ -94,8 +103,13 @@
         }
     }
 
-    /// Takes a place at another upstream; `None` if no other attempt is allowed or none has room.
-    async fn find_successor(&self, silence: &UpstreamSilence) -> Option<UpstreamPermit> {
+    /// Takes a place at another upstream, without those that refused the request lately; `None` if no
+    /// other attempt is allowed or none has room.
+    async fn find_successor(
+        &self,
+        silence: &UpstreamSilence,
+        refused: &mut Vec<(UpstreamId, Instant)>,
+    ) -> Option<UpstreamPermit> {
         let request = SilentRequest {
             silent_ms: silence.since.elapsed().as_millis() as u64,
             count: self.count,
@@ -111,7 +125,10 @@
         let demand = PlacementDemand::Online {
             objective_ms: max_wait_ms,
         };
-        let excluded = [&self.excluded[..], std::slice::from_ref(&silence.upstream)].concat();
+        refused.retain(|(_, until)| *until > Instant::now());
+        let avoided = refused.iter().map(|(upstream, _)| upstream);
+        let avoided = avoided.chain([&silence.upstream]);
+        let excluded: Vec<_> = self.excluded.iter().chain(avoided).cloned().collect();
         match context
             .placement
             .acquire(&self.group, demand, &excluded)
@@ -182,11 +199,14 @@
         self.excluded.push(failed.upstream);
     }
 
-    async fn record_refused_successor(&mut self, failed: FailedAttempt) {
+    /// Excludes a successor that failed, unless it only had no room.
+    async fn record_failed_successor(&mut self, failed: FailedAttempt) {
         self.report_loss(&failed).await;
         self.count.add(failed.proof);
         self.log_failed_attempt(&failed, "Wait");
-        self.excluded.push(failed.upstream);
+        if failed.proof != FailureProof::NotRun {
+            self.excluded.push(failed.upstream);
+        }
     }
 
     fn log_silence(&self, silence: &UpstreamSilence, outcome: &str) {
