Answer the calls that the end of an instance interrupts

Callers got a closed connection instead of an answer: a request that waits for a silent upstream may wait until its own deadline, which can lie behind the time that a stopping instance has. The process then ended with the request read and nothing said.

Now calls whose answer hasn't begun end with 502 (it promises nothing) when the time is over; the answers are written in the 400 ms in which items are handed over. Streams that have begun end as before.

--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::answer::plain;
+use crate::answer::{RequestFailure, plain};
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::intake::JobIntake;
@@ -50,6 +50,8 @@
 /// Time for writing the progress of running items to the log: two appends, which take some 20 ms
 /// together, and up to twenty times that when the log is slowest.
 const HAND_OVER_TIME: Duration = Duration::from_millis(400);
+/// Reason for the failure of a call that the end of the instance interrupts.
+const STOP_REASON: &str = "the instance ends";
 /// Interval at which settings are polled: a change is in force within seconds, and a poll takes
 /// well under a millisecond.
 const RELOAD_POLL_PERIOD: Duration = Duration::from_secs(2);
@@ -70,6 +72,8 @@
 struct StopTokens {
     /// Stops accepting connections.
     accept: CancellationToken,
+    /// Ends the calls whose answer has not begun, with a failure.
+    calls: CancellationToken,
     /// Stops items of batch jobs and hands them over.
     items: CancellationToken,
     /// Stops everything else.
@@ -164,13 +168,17 @@
     let gateway = build_gateway(&config, links, Arc::new(log), codecs, &stops, &background);
 
     let answering = gateway.clone();
+    let unanswered = stops.calls.clone();
     let limits = gateway.clone();
     let accepting = listener::serve(
         callers,
         move || connection_limits(&limits),
         move |call| {
-            let gateway = answering.clone();
-            async move { gateway.answer(call).await }
+            let (gateway, unanswered) = (answering.clone(), unanswered.clone());
+            async move {
+                let answer = unanswered.run_until_cancelled(gateway.answer(call)).await;
+                answer.unwrap_or_else(|| RequestFailure::Failed(STOP_REASON.to_owned()).answer())
+            }
         },
         connections.clone(),
         stops.accept.clone(),
@@ -228,6 +236,8 @@
             connections.len()
         );
     }
+    // The answers are written while the items are handed over.
+    stops.calls.cancel();
     stops.items.cancel();
     sleep(HAND_OVER_TIME).await;
     stops.work.cancel();
