Ask for no place that a silent request would give back

Found by reading, not seen: with the retry budget empty, a silent request asked for a place in a queue every 200 ms and gave it back; with all slots taken the allocator preempts a batch item for it each time. Without a retry it now asks for places without a wait only, and takes what it gets.

--- a/crates/kernel/src/hand_over.rs
+++ b/crates/kernel/src/hand_over.rs
@@ -30,8 +30,9 @@
 }
 
 /// Decides whether another upstream is looked for. The silence so far is the best estimate of how
-/// long it goes on, so a place with a longer wait is not worth the work done so far.
-pub fn after_silence(request: &SilentRequest) -> SilenceStep {
+/// long it goes on, so a place with a longer wait is not worth the work done so far. A place in a queue
+/// counts as a retry; one without a wait delays no other online request.
+pub fn after_silence(request: &SilentRequest, budget: &RetryBudget) -> SilenceStep {
     let SilentRequest {
         silent_ms,
         mut count,
@@ -41,14 +42,17 @@
     let is_allowed = bounds.repeatable && count.may_have_run < bounds.max_attempts;
     match is_allowed && bounds.remaining_ms >= MIN_REMAINING_MS {
         true => SilenceStep::FindSuccessor {
-            max_wait_ms: silent_ms.min(bounds.remaining_ms),
+            max_wait_ms: match budget.has_retry() {
+                true => silent_ms.min(bounds.remaining_ms),
+                false => 0,
+            },
         },
         false => SilenceStep::Wait,
     }
 }
 
-/// Whether a place that was found may be taken. A free slot costs no other request anything; a place
-/// in a queue counts as a retry.
-pub fn may_take_place(has_free_slot: bool, budget: &mut RetryBudget) -> bool {
-    has_free_slot || budget.take_retry()
+/// Whether a place that was found with this longest wait may be taken. It is asked for only if it may:
+/// a place that is given back may have cost a batch item its own.
+pub fn may_take_place(has_free_slot: bool, max_wait_ms: u64, budget: &mut RetryBudget) -> bool {
+    has_free_slot || max_wait_ms == 0 || budget.take_retry()
 }
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -48,6 +48,11 @@
         self.tokens = (self.tokens + BUDGET_PER_REQUEST).min(BUDGET_MAX);
     }
 
+    /// Whether enough tokens are left for a retry.
+    pub fn has_retry(&self) -> bool {
+        self.tokens >= BUDGET_PER_RETRY
+    }
+
     /// Takes the tokens of one retry. False, and nothing taken, if too few are left.
     pub fn take_retry(&mut self) -> bool {
         let remaining = self.tokens.checked_sub(BUDGET_PER_RETRY);
--- a/crates/serve/src/forward_run/silence_watch.rs
+++ b/crates/serve/src/forward_run/silence_watch.rs
@@ -115,10 +115,11 @@
             count: self.count,
             bounds: self.bounds(),
         };
-        let SilenceStep::FindSuccessor { max_wait_ms } = after_silence(&request) else {
+        let context = &self.context;
+        let step = after_silence(&request, &context.budget.lock());
+        let SilenceStep::FindSuccessor { max_wait_ms } = step else {
             return None;
         };
-        let context = &self.context;
         if context.quarantine.is_refused(&self.request.shared_parts) {
             return None;
         }
@@ -136,7 +137,7 @@
         {
             PoolStep::Send(permit) => {
                 let mut budget = context.budget.lock();
-                may_take_place(permit.has_free_slot, &mut budget).then_some(permit)
+                may_take_place(permit.has_free_slot, max_wait_ms, &mut budget).then_some(permit)
             }
             PoolStep::Refuse { .. } | PoolStep::NoUpstream => None,
         }
