--- a/review/standin/case_starved.rs
+++ b/review/standin/case_starved.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::Outcome;
-use crate::case_turn::{EVENTS, run_two_services};
+use crate::case_turn::{EVENTS, TwoServicePlan, run_two_services};
 use crate::client::Job;
 use crate::fleet::Record;
 
@@ -20,6 +20,11 @@
             &format!("a{index}"),
         )
     };
-    let jobs: Vec<_> = (1..=10).map(job).collect();
-    run_two_services(record, folder, trouble, &jobs, Duration::from_millis(100))
+    let plan = TwoServicePlan {
+        jobs: (1..=10).map(job).collect(),
+        later: Duration::from_millis(100),
+        gap: Duration::ZERO,
+        due_ms: 18_000,
+    };
+    run_two_services(record, folder, trouble, plan)
 }
--- a/review/standin/case_turn.rs
+++ b/review/standin/case_turn.rs
@@ -1,13 +1,14 @@
-//! The only runner of one service crashes for good. A job of 24 items comes for that service, and right
-//! after it one of 10 items for another service, whose runner is idle.
+//! The only runner of one service crashes for good. A job of 24 items comes for that service, and a second
+//! later one of 10 items for another service, whose runner is idle.
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use crate::Outcome;
 use crate::client::Job;
-use crate::fleet::{Pace, Record, Runner, batch_route, configure, start_instances, wait_ready};
+use crate::fleet::{Pace, Record, Runner, batch_route_due, configure, start_instances, wait_ready};
 use crate::judge::{FINISH_S, judge_open_items};
 use crate::store::Store;
 
@@ -15,19 +16,36 @@
 pub const EVENTS: u64 = 173;
 
 pub fn run(record: &Arc<Record>, folder: PathBuf, trouble: bool) -> Outcome {
-    let jobs = [Job::new("aaa", "job-a1", 24, EVENTS, "a1")];
-    // The store has dropped the runner's entry by then.
-    run_two_services(record, folder, trouble, &jobs, Duration::from_secs(5))
+    let jobs = vec![Job::new("aaa", "job-a1", 24, EVENTS, "a1")];
+    let plan = TwoServicePlan {
+        jobs,
+        // The store has dropped the runner's entry by then.
+        later: Duration::from_secs(5),
+        gap: Duration::from_secs(1),
+        due_ms: 30_000,
+    };
+    run_two_services(record, folder, trouble, plan)
+}
+
+/// What comes after the crash of a service's runner.
+pub struct TwoServicePlan {
+    /// Jobs for that service.
+    pub jobs: Vec<Job>,
+    /// Time from the crash to the first of them.
+    pub later: Duration,
+    /// Time from the last of them to the job for the other service.
+    pub gap: Duration,
+    /// Time after which the results of both routes are due.
+    pub due_ms: u64,
 }
 
-/// Plays the crash of a service's runner, `jobs` for that service some time later, and then a job for
+/// Plays the crash of a service's runner, jobs for that service some time later, and then a job for
 /// the other service.
 pub fn run_two_services(
     record: &Arc<Record>,
     folder: PathBuf,
     trouble: bool,
-    jobs: &[Job],
-    later: Duration,
+    plan: TwoServicePlan,
 ) -> Outcome {
     let store = Store::new(8);
     let stores = [store.listen(), store.listen()];
@@ -39,7 +57,10 @@
     let sound = Runner::start(record, "svc-b", "i-b1", 8, pace);
     lost.announce(&store);
     sound.announce(&store);
-    let routes = [batch_route("aaa", "svc-a"), batch_route("bbb", "svc-b")];
+    let routes = [
+        batch_route_due("aaa", "svc-a", plan.due_ms),
+        batch_route_due("bbb", "svc-b", plan.due_ms),
+    ];
     configure(record, &store, 1, &routes, &["svc-a", "svc-b"]);
     let instances = start_instances(&folder, &stores);
     if !wait_ready(&instances, Duration::from_secs(10)) {
@@ -65,12 +86,13 @@
         lost.crash();
         record.say("disruption: the runner of svc-a crashes for good");
     }
-    record.wait_until(10.0 + later.as_secs_f64());
-    for job in jobs {
+    record.wait_until(10.0 + plan.later.as_secs_f64());
+    for job in &plan.jobs {
         if !job.submit(record, &instances) {
             return Outcome::NotRun("a job of svc-a was not accepted".to_owned());
         }
     }
+    thread::sleep(plan.gap);
     let last = Job::new("bbb", "job-b1", 10, EVENTS, "b1");
     if !last.submit(record, &instances) {
         return Outcome::NotRun("the job of svc-b was not accepted".to_owned());
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -442,9 +442,16 @@
 }
 
 pub fn batch_route(name: &str, service: &str) -> String {
-    let more = "\"timeoutMs\":15000,\"targetLatencyMs\":500,\"maxAttempts\":3,\"sticky\":true,\
-                \"completionTargetMs\":18000,\"retentionS\":60";
-    route(name, "batch", service, more)
+    batch_route_due(name, service, 18_000)
+}
+
+/// A batch route whose results are due after this time.
+pub fn batch_route_due(name: &str, service: &str, due_ms: u64) -> String {
+    let more = format!(
+        "\"timeoutMs\":15000,\"targetLatencyMs\":500,\"maxAttempts\":3,\"sticky\":true,\
+         \"completionTargetMs\":{due_ms},\"retentionS\":60"
+    );
+    route(name, "batch", service, &more)
 }
 
 /// Writes a configuration, as the operator does.
