Let items wait for the configuration that their job was accepted under

Cause: jobs and configurations are followed over connections of their own. An instance whose connection for configurations was silent read the job within the 2.2 s of that silence, found no route in its older table and took it for removed. Ruled out: a route that was withdrawn again (its revision stays in force at the accepting instance) and rejections by upstreams (no item_attempt_failed).

Change: a job's entry names the revision that it was accepted under; an instance with an older one leaves the job's items waiting (item_waits_for_configuration). The check precedes every decision that uses the table. The types that item runs share move to item_context.rs.

--- a/crates/kernel/tests/job_table.rs
+++ b/crates/kernel/tests/job_table.rs
@@ -4,7 +4,7 @@
 use amaranth_wire::batch_entry::{
     BatchEntry, BlobRef, ItemEnd, ItemProgress, PartialOutput, SubmittedItem, SubmittedJob,
 };
-use amaranth_wire::id::{JobId, LogOffset};
+use amaranth_wire::id::{ConfigRevision, JobId, LogOffset};
 use proptest::prelude::*;
 
 const ITEMS: usize = 4;
@@ -39,6 +39,7 @@
         bodies: blob("bodies"),
         quota: None,
         call: 0,
+        revision: ConfigRevision(1),
     })
 }
 
--- a/crates/kernel/tests/token_quota.rs
+++ b/crates/kernel/tests/token_quota.rs
@@ -8,7 +8,7 @@
 use amaranth_wire::batch_entry::{
     BatchEntry, BlobRef, ItemEnd, JobQuota, SubmittedItem, SubmittedJob,
 };
-use amaranth_wire::id::LogOffset;
+use amaranth_wire::id::{ConfigRevision, LogOffset};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -96,6 +96,7 @@
         bodies: blob(),
         quota: Some(quota(max_tokens)),
         call,
+        revision: ConfigRevision(1),
     }
 }
 
--- a/crates/serve/src/batch/intake.rs
+++ b/crates/serve/src/batch/intake.rs
@@ -7,7 +7,7 @@
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{BatchEntry, ItemRequests, JobQuota, SubmittedJob};
-use amaranth_wire::id::JobId;
+use amaranth_wire::id::{ConfigRevision, JobId};
 use http::StatusCode;
 use tokio::time::{Instant, sleep};
 
@@ -113,6 +113,8 @@
     pub list: ItemList,
     /// Limit on waiting tokens in force here.
     pub quota: JobQuota,
+    /// Configuration that it was received under.
+    pub revision: ConfigRevision,
 }
 
 /// The log's decision on a submission.
@@ -271,6 +273,7 @@
                         bodies,
                         quota: Some(received.quota),
                         call: rand::random_range(1..=u64::MAX),
+                        revision: received.revision,
                     });
                 }
                 Err(e) if started.elapsed() + RETRY_DELAY >= BODIES_LIMIT => return Err(e),
--- /dev/null
+++ b/crates/serve/src/batch/item_context.rs
@@ -0,0 +1,42 @@
+//! What the runs of batch items share, and how they find their routes.
+
+use std::sync::Arc;
+
+use amaranth_wire::id::ConfigRevision;
+
+use crate::batch::blobs::BlobStore;
+use crate::batch::held_items::HeldItems;
+use crate::batch::item_queue::ItemQueue;
+use crate::batch::replica::JobReplica;
+use crate::call::UpstreamCodec;
+use crate::placement_service::PlacementService;
+use crate::quarantine_service::QuarantineService;
+use crate::route_state::RouteLookup;
+
+/// Finds the route of an item in the current configuration.
+pub type RouteFinder = Arc<dyn Fn() -> RouteLookup + Send + Sync>;
+
+/// Creates the route finder of a job from the revision that it was received under, its host and its
+/// path.
+pub type RouteFinderFactory = Arc<dyn Fn(ConfigRevision, &str, &str) -> RouteFinder + Send + Sync>;
+
+/// Dependencies that all item runs share.
+pub struct ItemContext {
+    /// Places items at upstreams.
+    pub placement: Arc<PlacementService>,
+    /// Protocol of the upstreams.
+    pub codec: UpstreamCodec,
+    /// Stores bodies and outputs.
+    pub blobs: Arc<BlobStore>,
+    /// Tells whether the log was read recently enough to have seen the ends of jobs.
+    pub replica: Arc<JobReplica>,
+    /// Decides which item requests a permit next.
+    pub queue: ItemQueue,
+    /// Refuses items whose prompts crash upstreams.
+    pub quarantine: Arc<QuarantineService>,
+    /// Items that are held back as their prompts crash upstreams.
+    pub held_items: Arc<HeldItems>,
+}
+
+/// Tells whether an item that has not run yet may still be started here.
+pub type StartCheck = Box<dyn Fn() -> bool + Send + Sync>;
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -10,7 +10,7 @@
 use amaranth_net::clock::unix_ms;
 use amaranth_net::telemetry::quote;
 use amaranth_wire::batch_entry::{BlobRef, ItemRequest, PartialOutput, SubmittedItem};
-use amaranth_wire::id::{JobId, PromptPartId, RequestId, UpstreamGroupId};
+use amaranth_wire::id::{ConfigRevision, JobId, PromptPartId, RequestId, UpstreamGroupId};
 use amaranth_wire::placement_message::PlacementDemand;
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -20,18 +20,14 @@
 use crate::attempt::{
     AttemptEnd, AttemptLimits, BrokenAnswer, FailedAttempt, ForwardRequest, attempt, join_parts,
 };
-use crate::batch::blobs::BlobStore;
-use crate::batch::held_items::{HeldItem, HeldItems};
+use crate::batch::held_items::HeldItem;
+use crate::batch::item_context::{ItemContext, RouteFinder, StartCheck};
 use crate::batch::item_head::ItemHead;
-use crate::batch::item_queue::ItemQueue;
 use crate::batch::job_reader::read_request;
 use crate::batch::progress::RunProgress;
-use crate::batch::replica::JobReplica;
 use crate::batch::retry_delay::RetryDelay;
-use crate::call::UpstreamCodec;
 use crate::connection_pool::OpenAnswer;
-use crate::placement_service::PlacementService;
-use crate::quarantine_service::{LostRequest, QuarantineService};
+use crate::quarantine_service::LostRequest;
 use crate::route_state::RouteLookup;
 use crate::upstream_pool::{PoolStep, UpstreamPermit};
 
@@ -43,30 +39,6 @@
 /// Interval at which a held item is checked.
 const HOLD_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
-/// Finds the route of an item in the current configuration.
-pub type RouteFinder = Arc<dyn Fn() -> RouteLookup + Send + Sync>;
-
-/// Creates the route finder of a job from its host and path.
-pub type RouteFinderFactory = Arc<dyn Fn(&str, &str) -> RouteFinder + Send + Sync>;
-
-/// Dependencies that all item runs share.
-pub struct ItemContext {
-    /// Places items at upstreams.
-    pub placement: Arc<PlacementService>,
-    /// Protocol of the upstreams.
-    pub codec: UpstreamCodec,
-    /// Stores bodies and outputs.
-    pub blobs: Arc<BlobStore>,
-    /// Tells whether the log was read recently enough to have seen the ends of jobs.
-    pub replica: Arc<JobReplica>,
-    /// Decides which item requests a permit next.
-    pub queue: ItemQueue,
-    /// Refuses items whose prompts crash upstreams.
-    pub quarantine: Arc<QuarantineService>,
-    /// Items that are held back as their prompts crash upstreams.
-    pub held_items: Arc<HeldItems>,
-}
-
 /// An item to be run on this instance.
 pub struct PendingItem {
     /// Job that the item belongs to.
@@ -83,13 +55,12 @@
     pub path: String,
     /// When the job was received, in milliseconds of Unix time.
     pub received_ms: u64,
+    /// Configuration that the job was received under. An older one must not decide about the item.
+    pub revision: ConfigRevision,
     /// Output of an earlier run, if one was saved.
     pub saved_output: Option<PartialOutput>,
 }
 
-/// Tells whether an item that has not run yet may still be started here.
-pub type StartCheck = Box<dyn Fn() -> bool + Send + Sync>;
-
 /// State of one item's run.
 pub struct ItemRun {
     context: Arc<ItemContext>,
@@ -105,6 +76,8 @@
     /// Shared parts of the item's prompt; empty before its request is read.
     shared_parts: Vec<PromptPartId>,
     held: Option<HeldItem>,
+    /// Whether it was logged that the item waits for a newer configuration.
+    wait_logged: bool,
 }
 
 /// How an item's run ended.
@@ -148,6 +121,7 @@
             loss_delay: RetryDelay::default(),
             shared_parts: Vec::new(),
             held: None,
+            wait_logged: false,
         }
     }
 
@@ -193,8 +167,12 @@
         let route = match (self.find_route)() {
             RouteLookup::Found(route) => route,
             RouteLookup::NotLoaded => return ItemStep::RetryLater,
-            RouteLookup::NotFound => {
-                self.log_errored("route removed from the configuration");
+            RouteLookup::Outdated(known) => {
+                self.log_waiting(known);
+                return ItemStep::RetryLater;
+            }
+            RouteLookup::NotFound(revision) => {
+                self.log_errored(&format!("route removed from the configuration {revision}"));
                 return ItemStep::End(ItemRunEnd::Errored);
             }
         };
@@ -226,6 +204,21 @@
         }
     }
 
+    /// Logs once that the configuration in force is older than that of the item's job.
+    fn log_waiting(&mut self, known: ConfigRevision) {
+        if std::mem::replace(&mut self.wait_logged, true) {
+            return;
+        }
+        let (job, item, needed) = (
+            &self.pending.job,
+            &self.pending.item.id,
+            self.pending.revision,
+        );
+        log::info!(
+            "event=item_waits_for_configuration job={job} item={item} revision={needed} known={known}"
+        );
+    }
+
     fn waiting_item(&self, route: &RouteRule) -> WaitingItem {
         let received_ms = self.pending.received_ms;
         let target_ms = match route.kind {
--- a/crates/serve/src/batch/mod.rs
+++ b/crates/serve/src/batch/mod.rs
@@ -5,6 +5,7 @@
 pub mod commit;
 pub mod held_items;
 pub mod intake;
+pub mod item_context;
 pub mod item_head;
 pub mod item_queue;
 pub mod item_run;
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -16,9 +16,8 @@
 
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
-use crate::batch::item_run::{
-    ItemContext, ItemRun, ItemRunEnd, PendingItem, RouteFinderFactory, StartCheck,
-};
+use crate::batch::item_context::{ItemContext, RouteFinderFactory, StartCheck};
+use crate::batch::item_run::{ItemRun, ItemRunEnd, PendingItem};
 use crate::batch::progress::{ProgressWriter, RunProgress};
 use crate::batch::replica::JobReplica;
 use crate::batch::shards::ShardAssignment;
@@ -38,7 +37,7 @@
 
 /// Configuration of a batch worker.
 pub struct WorkerConfig {
-    /// Creates the route finder of a job from its host and path.
+    /// Creates the route finder of a job.
     pub route_finder_factory: RouteFinderFactory,
     /// How long a job can be read after its submission.
     pub retention: Duration,
@@ -154,6 +153,7 @@
                     host: submission.host.clone(),
                     path: submission.path.clone(),
                     received_ms: submission.received_ms,
+                    revision: submission.revision,
                     saved_output: job.partial_output(&item.id).cloned(),
                 })
             });
@@ -181,7 +181,8 @@
         let cancel = job.cancel.clone();
         drop(running);
         let (id, item) = (pending.job.clone(), pending.item.id.clone());
-        let find_route = (self.config.route_finder_factory)(&pending.host, &pending.path);
+        let find_route =
+            (self.config.route_finder_factory)(pending.revision, &pending.host, &pending.path);
         let progress = Arc::new(RunProgress::new(
             id.clone(),
             item.clone(),
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use amaranth_kernel::route_table::{RouteKind, RouteRule, RouteTable};
 use amaranth_wire::batch_entry::JobQuota;
-use amaranth_wire::id::RequestId;
+use amaranth_wire::id::{ConfigRevision, RequestId};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -157,7 +157,10 @@
                 max_tokens: max_waiting_tokens,
             };
             return match parts.method {
-                Method::POST => self.submit(&parts, body, metadata.request, quota).await,
+                Method::POST => {
+                    self.submit(&parts, body, metadata.request, quota, table.revision)
+                        .await
+                }
                 _ => RequestFailure::Malformed("jobs are submitted with POST".to_owned()).answer(),
             };
         }
@@ -189,6 +192,7 @@
         body: Bytes,
         request: RequestId,
         quota: JobQuota,
+        revision: ConfigRevision,
     ) -> Answer {
         let host = parts
             .headers
@@ -213,6 +217,7 @@
             path: parts.uri.path().to_owned(),
             list,
             quota,
+            revision,
         };
         self.intake.submit(received).await
     }
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -19,8 +19,8 @@
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::intake::JobIntake;
+use crate::batch::item_context::{ItemContext, RouteFinderFactory};
 use crate::batch::item_queue::ItemQueue;
-use crate::batch::item_run::{ItemContext, RouteFinderFactory};
 use crate::batch::job_reader::JobReader;
 use crate::batch::progress::ProgressWriter;
 use crate::batch::replica::JobReplica;
@@ -402,9 +402,9 @@
 }
 
 fn route_finder_factory(routes: Arc<RouteState>) -> RouteFinderFactory {
-    Arc::new(move |host, path| {
+    Arc::new(move |revision, host, path| {
         let (routes, host, path) = (routes.clone(), host.to_owned(), path.to_owned());
-        Arc::new(move || routes.find(&host, &path))
+        Arc::new(move || routes.find_since(revision, &host, &path))
     })
 }
 
--- a/crates/serve/src/route_state.rs
+++ b/crates/serve/src/route_state.rs
@@ -80,13 +80,16 @@
         true
     }
 
-    /// Looks up the route of a host and path.
-    pub fn find(&self, host: &str, path: &str) -> RouteLookup {
+    /// Looks up the route of a host and path in a table that is not older than a revision. Followers
+    /// read the topics over connections of their own, so what was received under a newer revision may
+    /// be known here before that revision is.
+    pub fn find_since(&self, revision: ConfigRevision, host: &str, path: &str) -> RouteLookup {
         match self.current() {
             None => RouteLookup::NotLoaded,
+            Some(table) if table.revision < revision => RouteLookup::Outdated(table.revision),
             Some(table) => match table.find(host, path) {
                 Some(route) => RouteLookup::Found(route.clone()),
-                None => RouteLookup::NotFound,
+                None => RouteLookup::NotFound(table.revision),
             },
         }
     }
@@ -97,8 +100,10 @@
 pub enum RouteLookup {
     /// No table is in force yet.
     NotLoaded,
-    /// The table in force has no such route.
-    NotFound,
+    /// The table in force is older than the required revision; holds its own revision.
+    Outdated(ConfigRevision),
+    /// The table in force, of this revision, has no such route.
+    NotFound(ConfigRevision),
     /// The route that matches.
     Found(Arc<RouteRule>),
 }
--- a/crates/serve/tests/odd_records.rs
+++ b/crates/serve/tests/odd_records.rs
@@ -10,7 +10,7 @@
 use amaranth_serve::topic_follower::TopicUpdate;
 use amaranth_serve::upstream_pool::UpstreamPool;
 use amaranth_wire::batch_entry::{BatchEntry, BlobRef, SubmittedJob};
-use amaranth_wire::id::{JobId, LogOffset};
+use amaranth_wire::id::{ConfigRevision, JobId, LogOffset};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -39,6 +39,7 @@
         },
         quota: None,
         call: first_offset,
+        revision: ConfigRevision(1),
     });
     let records = split(&entry, job, 256 + 200);
     assert_eq!(records.len(), 2);
--- a/crates/wire/src/batch_entry.rs
+++ b/crates/wire/src/batch_entry.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ItemId, JobId, LogOffset};
+use crate::id::{ConfigRevision, ItemId, JobId, LogOffset};
 
 /// Location of bytes that are stored apart from the entry and read only on demand.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +72,10 @@
     /// does their fate: a rejected call stays rejected when one of them arrives late.
     #[serde(default)]
     pub call: u64,
+    /// Configuration under which the job was received; 0 in entries of older versions. An older one
+    /// says nothing about the job's route.
+    #[serde(default)]
+    pub revision: ConfigRevision,
 }
 
 impl SubmittedJob {
