Count crashes with a common cause once as evidence against a part of prompts

Cause: two crashes as answers began convict a part, whatever their times. Crashes of one moment have a cause in common, which the code knew for waiting requests only. Ruled out by request_lost: double counting of one upstream, and answers for the part that came too late (there were none).

Change: a loss is evidence of its own only if its request was sent after the crashes before were reported; a report carries the age of its request (age_ms). The window for waiting requests begins with the first crash, where fixed intervals counted two that were 10 ms apart.

--- a/crates/kernel/src/crash_evidence.rs
+++ b/crates/kernel/src/crash_evidence.rs
@@ -4,8 +4,8 @@
 //! begins to answer them. Every attempt and every repeat by a caller costs an upstream, together with
 //! the sound requests that it served. Sound requests share all other parts with them.
 //!
-//! A part is suspected if requests with it are lost in crashes, and acquitted if an upstream answers
-//! any request with it. Instances see few requests each, so their reports are judged together, and all
+//! A part is suspected if requests with it are lost in crashes at different moments, and acquitted if an
+//! upstream answers any request with it. Instances see few requests each, so their reports are judged together, and all
 //! are asked for such answers before a part is convicted.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -13,14 +13,16 @@
 use amaranth_wire::id::{PromptPartId, UpstreamId};
 use amaranth_wire::quarantine_message::LossReport;
 
-/// Score from which a part of several requests is convicted: two crashes as answers began, or more of
-/// other crashes.
+/// Score from which a part of several requests is convicted: two moments with a crash as an answer
+/// began, or more with other crashes.
 const CONVICTION_SCORE: usize = 4;
 /// Score from which a part of a single request is convicted, which is tried at one upstream after the
 /// other.
 const SINGLE_REQUEST_SCORE: usize = 6;
-/// Score of a crash as the answer to a request began, which no waiting request explains.
+/// Score of a moment with a crash as the answer to a request began, which no waiting request explains.
 const BEGUN_SCORE: usize = 2;
+/// Score of a moment with crashes under waiting requests only.
+const WAITING_SCORE: usize = 1;
 /// Time in which instances can answer an accusation, in milliseconds: several round trips between
 /// distant data centres.
 pub const ALIBI_WAIT_MS: u64 = 100;
@@ -42,6 +44,31 @@
 struct TimedReport {
     report: LossReport,
     at_ms: u64,
+    /// When the lost request was sent, by this instance's clock.
+    sent_ms: u64,
+}
+
+/// Crashes that may have a common cause.
+struct CrashMoment {
+    /// When the first of them was reported.
+    since_ms: u64,
+    /// Whether a request was lost as its answer began.
+    begun: bool,
+}
+
+impl CrashMoment {
+    fn new(since_ms: u64) -> Self {
+        Self {
+            since_ms,
+            begun: false,
+        }
+    }
+
+    /// Whether a loss that is reported later may have the same cause.
+    fn explains(&self, row: &TimedReport) -> bool {
+        let was_waiting = !row.report.begun && row.at_ms < self.since_ms + COMMON_CAUSE_MS;
+        was_waiting || row.sent_ms <= self.since_ms
+    }
 }
 
 /// Reports of lost requests, judged by part.
@@ -69,6 +96,7 @@
             return parts;
         }
         self.reports.push_back(TimedReport {
+            sent_ms: now_ms.saturating_sub(report.age_ms),
             report,
             at_ms: now_ms,
         });
@@ -161,18 +189,36 @@
     }
 
     fn score(&self, part: &PromptPartId) -> usize {
-        let mut begun: HashMap<&UpstreamId, u64> = HashMap::new();
-        let mut crashes = 0;
-        let mut waiting = HashSet::new();
+        let moments = self.crash_moments(part);
+        let scores = moments.iter().map(|moment| match moment.begun {
+            true => BEGUN_SCORE,
+            false => WAITING_SCORE,
+        });
+        scores.sum()
+    }
+
+    /// Groups the losses with a part into moments with a cause of their own. Upstreams that crash
+    /// together say no more about the part than one of them: whatever ended them ended all requests
+    /// that they served. A request that was sent after a crash was known is lost for another cause.
+    fn crash_moments(&self, part: &PromptPartId) -> Vec<CrashMoment> {
+        let mut moments: Vec<CrashMoment> = Vec::new();
+        // The last loss at each upstream, with the index of its moment.
+        let mut last_losses: HashMap<&UpstreamId, (u64, usize)> = HashMap::new();
         for row in self.reports_of(part) {
-            if !row.report.begun {
-                waiting.insert(row.at_ms / COMMON_CAUSE_MS);
-                continue;
-            }
-            let last_ms = begun.insert(&row.report.upstream, row.at_ms);
-            crashes += usize::from(last_ms.is_none_or(|ms| ms + SAME_CRASH_MS < row.at_ms));
+            let last_loss = last_losses.get(&row.report.upstream);
+            let same_crash = last_loss.filter(|(last_ms, _)| last_ms + SAME_CRASH_MS >= row.at_ms);
+            let index = match (same_crash, moments.last()) {
+                (Some((_, index)), _) => *index,
+                (None, Some(last)) if last.explains(row) => moments.len() - 1,
+                (None, _) => {
+                    moments.push(CrashMoment::new(row.at_ms));
+                    moments.len() - 1
+                }
+            };
+            moments[index].begun |= row.report.begun;
+            last_losses.insert(&row.report.upstream, (row.at_ms, index));
         }
-        crashes * BEGUN_SCORE + waiting.len()
+        moments
     }
 
     fn expire(&mut self, now_ms: u64) {
--- a/crates/kernel/tests/quarantine_load.rs
+++ b/crates/kernel/tests/quarantine_load.rs
@@ -45,6 +45,7 @@
     attempts: u32,
     /// Start of its upstream at which it runs.
     upstream: (usize, u64),
+    sent_ms: u64,
 }
 
 enum SimEvent {
@@ -174,6 +175,7 @@
         let index = up[self.rng.random_range(0..up.len())];
         let (started_ms, open) = &mut self.upstreams[index];
         request.upstream = (index, *started_ms);
+        request.sent_ms = self.now_ms;
         request.attempts += 1;
         open.push((request.clone(), false));
         if is_deadly {
@@ -211,6 +213,7 @@
                     request: format!("r{}", request.number).parse().unwrap(),
                     parts,
                     begun,
+                    age_ms: self.now_ms - request.sent_ms,
                 };
                 self.schedule(MESSAGE_MS, SimEvent::Report(report));
             }
@@ -271,6 +274,7 @@
             parts,
             attempts: 0,
             upstream: (0, 0),
+            sent_ms: 0,
         };
         self.schedule(at_ms, SimEvent::Arrive(request));
     }
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -68,6 +68,8 @@
     pub cause: FailureCause,
     /// How much of the answer had arrived.
     pub progress: AnswerProgress,
+    /// When its upstream was chosen, if it ended the connection.
+    pub lost_since: Option<Instant>,
     /// Reason, for log lines.
     pub why: String,
 }
@@ -80,6 +82,7 @@
             proof: FailureProof::NotRun,
             cause: FailureCause::Other,
             progress: AnswerProgress::None,
+            lost_since: None,
             why,
         }
     }
@@ -101,7 +104,8 @@
     }
 
     /// Creates a failure of sending a request or of reading its answer.
-    pub fn from_error(upstream: UpstreamId, error: &SendError) -> Self {
+    pub fn from_error(permit: &UpstreamPermit, error: &SendError) -> Self {
+        let upstream = permit.upstream.clone();
         let why = error.to_string();
         match error {
             SendError::Unreachable(_) => Self {
@@ -111,6 +115,7 @@
             SendError::Unsent(_) => Self::not_run(upstream, why),
             SendError::Lost(_) => Self {
                 cause: FailureCause::ConnectionLost,
+                lost_since: Some(permit.acquired_at),
                 ..Self::may_have_run(upstream, why)
             },
             SendError::Broken(_) => Self::may_have_run(upstream, why),
@@ -118,10 +123,12 @@
     }
 
     /// Creates a failure of reading an answer.
-    pub fn from_broken(upstream: UpstreamId, broken: BrokenAnswer) -> Self {
+    pub fn from_broken(permit: &UpstreamPermit, broken: BrokenAnswer) -> Self {
+        let is_lost = broken.cause == FailureCause::ConnectionLost;
         Self {
             cause: broken.cause,
-            ..Self::may_have_run(upstream, broken.why)
+            lost_since: is_lost.then_some(permit.acquired_at),
+            ..Self::may_have_run(permit.upstream.clone(), broken.why)
         }
     }
 
@@ -224,7 +231,7 @@
                 SendError::Unreachable(_) => permit.record_unreachable(),
                 _ => permit.record_failure(),
             }
-            AttemptEnd::Failed(FailedAttempt::from_error(upstream, &e))
+            AttemptEnd::Failed(FailedAttempt::from_error(&permit, &e))
         }
         Err(_) => {
             permit.record_failure();
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -374,7 +374,7 @@
             Err(broken) => {
                 permit.record_failure();
                 self.log_failed_attempt(permit.upstream.as_str(), &broken.why);
-                let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
+                let failed = FailedAttempt::from_broken(&permit, broken);
                 self.handle_loss(&failed.with_progress(AnswerProgress::Head))
                     .await
             }
--- a/crates/serve/src/forward_run.rs
+++ b/crates/serve/src/forward_run.rs
@@ -327,6 +327,7 @@
             cause,
             progress,
             why,
+            ..
         } = failed;
         log::info!(
             "event=attempt_failed request={} upstream={upstream} proof={proof:?} cause={cause:?} progress={progress:?} parts={} why={} attempts={} remaining_ms={} next={next}",
@@ -420,7 +421,7 @@
     let failed = match timeout_at(deadline, answer.peek_chunk()).await {
         Ok(Ok(true)) => return AttemptEnd::Answer(answer, permit),
         Ok(Ok(false)) => FailedAttempt::may_have_run(upstream, "no event follows".to_owned()),
-        Ok(Err(e)) => FailedAttempt::from_error(upstream, &e),
+        Ok(Err(e)) => FailedAttempt::from_error(&permit, &e),
         Err(_) => FailedAttempt::may_have_run(upstream, "no event by the deadline".to_owned()),
     };
     permit.record_failure();
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -106,7 +106,7 @@
                     let body = Full::new(body).map_err(|e| match e {}).boxed_unsync();
                     return relay_answer(status, headers, body);
                 }
-                Ok(Err(e)) => FailedAttempt::from_error(upstream, &e),
+                Ok(Err(e)) => FailedAttempt::from_error(&permit, &e),
                 Err(_) => {
                     let why = "the answer was not complete by the deadline".to_owned();
                     FailedAttempt::may_have_run(upstream, why)
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -187,18 +187,23 @@
             return false;
         }
         let crashed = has_crashed(lost.address).await;
+        let age = failed
+            .lost_since
+            .map_or(Duration::ZERO, |since| since.elapsed());
         let report = LossReport {
             upstream: failed.upstream.clone(),
             request: lost.request.clone(),
             parts: parts.into_iter().take(MAX_REPORTED_PARTS).collect(),
             begun: failed.progress == AnswerProgress::Head,
+            age_ms: age.as_millis() as u64,
         };
         log::info!(
-            "event=request_lost request={} upstream={} parts={} begun={} crashed={crashed}",
+            "event=request_lost request={} upstream={} parts={} begun={} age_ms={} crashed={crashed}",
             report.request,
             report.upstream,
             join_parts(&report.parts),
             report.begun,
+            report.age_ms,
         );
         let is_suspect = crashed && report.begun;
         if crashed {
--- a/crates/serve/src/stream_relay.rs
+++ b/crates/serve/src/stream_relay.rs
@@ -332,7 +332,7 @@
             true => AnswerProgress::Events,
             false => AnswerProgress::Head,
         };
-        let failed = FailedAttempt::from_broken(permit.upstream.clone(), broken);
+        let failed = FailedAttempt::from_broken(&permit, broken);
         RelayStep::Failed(failed.with_progress(progress))
     }
 
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -69,6 +69,8 @@
     pub load: f64,
     /// Whether the estimate leaves a slot free, so that the request should start at once.
     pub has_free_slot: bool,
+    /// When it was acquired, just before the request is sent.
+    pub acquired_at: Instant,
     batch: Option<(u64, CancellationToken)>,
     pool: Arc<UpstreamPool>,
 }
@@ -233,6 +235,7 @@
             started_ms,
             load,
             has_free_slot,
+            acquired_at: Instant::now(),
             batch: batch.then(|| self.register_batch_run(upstream)),
             pool: self.clone(),
         })
--- a/crates/wire/src/quarantine_message.rs
+++ b/crates/wire/src/quarantine_message.rs
@@ -17,6 +17,9 @@
     /// Whether the head of the answer had arrived. Otherwise the request may have been waiting while
     /// another one crashed the upstream.
     pub begun: bool,
+    /// Time from sending the request until this report, in milliseconds; 0 in reports of older versions.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// Refuses requests whose prompts have all of some parts.
