Refuse requests that come too late in a planned stop

Reported by an operator of a similar system: requests that came late in the grace period were taken, passed on and cut at its end, among them such that may not be repeated.

Here: a request whose body is whole 6.4 s after SIGTERM ran and was answered 502 (front). The own interface took work until its end (200 at 2.8 s).

Cause: each request got the time that its caller allows, without regard to the time that the process has left. Change: after the notice period, front refuses a request as not run if less than half of the time that it may take is left, entry refuses all new work.

--- a/crates/entry/src/accept.rs
+++ b/crates/entry/src/accept.rs
@@ -120,14 +120,14 @@
 
 /// Handles a completion call of a caller.
 pub async fn completion(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
-    context.check_available()?;
+    context.check_takes_work()?;
     let accepted = accept_completion(&context, request).await?;
     request_run::answer(context, accepted).await
 }
 
 /// Handles a call to an upstream of the kind service.
 pub async fn service(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
-    context.check_available()?;
+    context.check_takes_work()?;
     let accepted = accept_service(&context, request).await?;
     request_run::answer(context, accepted).await
 }
--- a/crates/entry/src/batch_intake.rs
+++ b/crates/entry/src/batch_intake.rs
@@ -46,7 +46,7 @@
 /// Handles the submission of a job. A JSON body names a stored file; any other content type is read
 /// as JSON lines.
 pub async fn submit(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
-    context.check_available()?;
+    context.check_takes_work()?;
     let team = context.callers.team(&request)?;
     match is_json(&request) {
         true => submit_file(&context, team, request).await,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -89,6 +89,7 @@
     pub stop: CancellationToken,
     caught_up: AtomicBool,
     leaving: AtomicBool,
+    closed: AtomicBool,
 }
 
 impl InstanceContext {
@@ -120,6 +121,7 @@
             work: TaskTracker::new(),
             caught_up: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             config,
             state,
             committer,
@@ -145,6 +147,11 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Records that the notice period of a planned stop is over. New work would be cut at its end.
+    pub fn set_closed(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
     /// Whether a planned stop has begun or an operator drains this instance.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire) || self.is_drained()
@@ -176,8 +183,17 @@
         live
     }
 
-    /// Fails with `NotReady` before the log was folded and while cut off. A leaving instance still
-    /// accepts work, because the load balancer notices only after a delay.
+    /// Fails with `NotReady` if this instance takes no new work. A leaving instance takes it until the
+    /// load balancer has had time to notice.
+    pub fn check_takes_work(&self) -> Result<()> {
+        if self.closed.load(Ordering::Acquire) {
+            let message = "this instance is stopping";
+            return Err(CallError::new(ErrorKind::NotReady, message));
+        }
+        self.check_available()
+    }
+
+    /// Fails with `NotReady` before the log was folded and while cut off.
     pub fn check_available(&self) -> Result<()> {
         let message = match (self.caught_up.load(Ordering::Acquire), self.is_cut_off()) {
             (true, false) => return Ok(()),
--- a/crates/entry/src/files.rs
+++ b/crates/entry/src/files.rs
@@ -48,7 +48,7 @@
 
 /// Handles the upload of a file.
 pub async fn store(context: Arc<InstanceContext>, request: RouteRequest) -> Result<Response> {
-    context.check_available()?;
+    context.check_takes_work()?;
     let team = context.callers.team(&request)?;
     let job = job_id(&team, parse_key(&request)?);
     let content_type = request.header(CONTENT_TYPE.as_str()).unwrap_or("");
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -80,8 +80,8 @@
         sleep(FLUSH_PERIOD).await;
     }
 
-    /// Shuts down gracefully: reports not ready, accepts work for the notice period, waits for work
-    /// in progress and transfers stored results.
+    /// Shuts down gracefully: reports not ready, accepts work for the notice period, refuses it from
+    /// then on, waits for work in progress and transfers stored results.
     pub async fn stop(&self) {
         let context = &self.context;
         context.set_leaving();
@@ -90,6 +90,7 @@
             context.config.instance
         );
         sleep(NOTICE_PERIOD).await;
+        context.set_closed();
         context.work.close();
         if timeout(FINISH_LIMIT, self.finish()).await.is_err() {
             let left = context.work.len() + context.calls.in_progress();
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Answers callers: reads a call, finds its route, and forwards it or handles it as a batch job.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use amaranth_kernel::route_table::{RouteKind, RouteRule, RouteTable};
@@ -30,6 +30,13 @@
 /// Retry delay sent to callers while this instance has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
+/// Retry delay sent to callers whose request comes too late in a shutdown, in milliseconds: other
+/// instances can take it at once.
+const CLOSING_RETRY_MS: u64 = 0;
+/// Part of the time that a request may take which must be left in a shutdown for it to be forwarded.
+/// Most requests take far less.
+const CLOSING_TIME_PART: u32 = 2;
+
 /// Time after the start after which readiness doesn't wait for the rules against prompts. Their topic
 /// alone must not keep a fleet from serving.
 const RULE_WAIT_LIMIT: Duration = Duration::from_secs(3);
@@ -46,6 +53,8 @@
     pub reader: JobReader,
     started: Instant,
     leaving: AtomicBool,
+    /// When calls are cut off, once no connection is accepted any more.
+    closing: OnceLock<Instant>,
 }
 
 impl Gateway {
@@ -63,6 +72,7 @@
             reader,
             started: Instant::now(),
             leaving: AtomicBool::new(false),
+            closing: OnceLock::new(),
         }
     }
 
@@ -71,6 +81,12 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Sets when calls are cut off. From now on, requests that may take longer are refused: their
+    /// callers had the time to reach other instances.
+    pub fn set_closing(&self, calls_end: Instant) {
+        self.closing.get_or_init(|| calls_end);
+    }
+
     /// Whether this instance accepts callers. If the log is unavailable, readiness doesn't wait for
     /// the batch jobs: online requests don't need them, and calls for jobs are told to retry.
     pub fn is_ready(&self) -> bool {
@@ -135,11 +151,36 @@
             return before_body(refused, &body);
         };
         match read_body(&parts, body, &table, route).await {
-            Ok(body) => self.dispatch(parts, body, metadata, &table, route).await,
+            Ok(body) => match self.check_time_left(route, metadata.caller_timeout_ms) {
+                Ok(()) => self.dispatch(parts, body, metadata, &table, route).await,
+                Err(e) => online::refuse(metadata.request, &route.name, &table, e),
+            },
             Err(e) => with_unread_body(online::refuse(metadata.request, &route.name, &table, e)),
         }
     }
 
+    /// Refuses a request that was read so late in a shutdown that its answer would probably be cut
+    /// off. Jobs are not: an append is short, and a job whose append is cut off is submitted again.
+    fn check_time_left(
+        &self,
+        route: &RouteRule,
+        caller_timeout_ms: Option<u64>,
+    ) -> Result<(), RequestFailure> {
+        let is_job = matches!(route.kind, RouteKind::Batch { .. });
+        let Some(calls_end) = self.closing.get().filter(|_| !is_job) else {
+            return Ok(());
+        };
+        let time_ms = caller_timeout_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+        let left = calls_end.saturating_duration_since(Instant::now());
+        match left >= Duration::from_millis(time_ms) / CLOSING_TIME_PART {
+            true => Ok(()),
+            false => Err(RequestFailure::Refused {
+                retry_after_ms: CLOSING_RETRY_MS,
+                why: format!("the instance ends in {} ms", left.as_millis()),
+            }),
+        }
+    }
+
     async fn dispatch(
         &self,
         parts: Parts,
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -225,11 +225,12 @@
     let stop_started = Instant::now();
     gateway.set_leaving();
     sleep(NOTICE_PERIOD).await;
-    stops.accept.cancel();
-    connections.close();
     let remaining = config
         .grace
         .saturating_sub(stop_started.elapsed() + GRACE_MARGIN);
+    gateway.set_closing(Instant::now() + remaining);
+    stops.accept.cancel();
+    connections.close();
     if timeout(remaining, connections.wait()).await.is_err() {
         log::error!(
             "event=grace_period_exceeded connections={}",
