--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -14,6 +14,13 @@
 /// Tokens of a stream that lasts longer, at 20 ms a token.
 const TOKENS: u32 = 250;
 
+/// Path, headers and body.
+type LateCall = (
+    &'static str,
+    &'static [(&'static str, &'static str)],
+    String,
+);
+
 /// Guards against work that is taken until the last moment of a planned stop, and cut there: a refusal
 /// that says that nothing ran can be repeated elsewhere.
 #[tokio::test]
@@ -24,9 +31,12 @@
     let running = running.await.expect("an answer begins");
     fleet.entries["entry-1"].signal("TERM");
     sleep(AFTER_NOTICE).await;
-    let headers = [("amaranth-repeatable", "false")];
-    let calls: [(&str, &[(&str, &str)], String); 3] = [
-        (CHAT, &headers, chat("late", 2, false)),
+    let calls: [LateCall; 3] = [
+        (
+            CHAT,
+            &[("amaranth-repeatable", "false")],
+            chat("late", 2, false),
+        ),
         (CHAT, &[], chat("late", 2, true)),
         (
             "/v1/batches",
