Let the items of each group take turns of their own

Cause: an item that finds no upstream, or no room, keeps its turn for some 100 ms, and the next turn goes to the item that is due first, whatever its service. Turns, and the measured time of a run by which they are ordered, are now kept by group.

--- a/crates/kernel/src/item_order.rs
+++ b/crates/kernel/src/item_order.rs
@@ -1,4 +1,4 @@
-//! Order in which the batch items of one instance get upstream slots.
+//! Order in which the batch items of one instance get the slots of one group of upstreams.
 //!
 //! After an outage, or when many jobs arrive at once, more items wait than the upstreams can finish
 //! in time. In the order of arrival each would then start shortly before or after it is due, and all
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -195,7 +195,7 @@
         }
         let preempted = permit.preempted();
         match preempted
-            .run_until_cancelled(self.attempt(permit, &route))
+            .run_until_cancelled(self.attempt(permit, &route, group))
             .await
         {
             Some(step) => step,
@@ -240,7 +240,7 @@
         group: &UpstreamGroupId,
         waiting: WaitingItem,
     ) -> Option<UpstreamPermit> {
-        let _turn = self.context.queue.take_turn(waiting).await;
+        let _turn = self.context.queue.take_turn(group, waiting).await;
         match self
             .context
             .placement
@@ -297,7 +297,12 @@
         }
     }
 
-    async fn attempt(&mut self, permit: UpstreamPermit, route: &RouteRule) -> ItemStep {
+    async fn attempt(
+        &mut self,
+        permit: UpstreamPermit,
+        route: &RouteRule,
+        group: &UpstreamGroupId,
+    ) -> ItemStep {
         if let Err(why) = self.load_input().await {
             self.log_failed_attempt("none", &why);
             return ItemStep::RetryLater;
@@ -326,7 +331,9 @@
         )
         .await
         {
-            AttemptEnd::Answer(answer, permit) => self.handle_answer(*answer, permit, route).await,
+            AttemptEnd::Answer(answer, permit) => {
+                self.handle_answer(*answer, permit, route, group).await
+            }
             AttemptEnd::Failed(failed) if failed.proof != FailureProof::MayHaveRun => {
                 ItemStep::RetryLater
             }
@@ -342,6 +349,7 @@
         mut answer: OpenAnswer,
         permit: UpstreamPermit,
         route: &RouteRule,
+        group: &UpstreamGroupId,
     ) -> ItemStep {
         let status = answer.status();
         if status == StatusCode::UNPROCESSABLE_ENTITY {
@@ -366,7 +374,7 @@
                 permit.record_success(None);
                 if is_whole_run {
                     let run_ms = started.elapsed().as_millis() as f64;
-                    self.context.queue.record_run(run_ms);
+                    self.context.queue.record_run(group, run_ms);
                 }
                 answer.finish();
                 ItemStep::End(ItemRunEnd::Succeeded(self.progress.text()))
