Limit the started items by the groups that can serve them

Cause: items count from when they begin to ask for a slot, over all services, oldest first. The limit now holds for each set of groups (crates/kernel/src/start_limit.rs). What runs at once is limited over all services when a slot is asked for, as it needs memory.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod service_level;
 pub mod setting_table;
 pub mod slot_allocator;
+pub mod start_limit;
 pub mod step_model;
 pub mod stream_assembly;
 pub mod subset;
--- a/crates/serve/src/batch/item_context.rs
+++ b/crates/serve/src/batch/item_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use amaranth_wire::id::ConfigRevision;
+use tokio::sync::Semaphore;
 
 use crate::batch::blobs::BlobStore;
 use crate::batch::held_items::HeldItems;
@@ -20,6 +21,10 @@
 /// path.
 pub type RouteFinderFactory = Arc<dyn Fn(ConfigRevision, &str, &str) -> RouteFinder + Send + Sync>;
 
+/// Most items that run here at once. Each holds a connection and its output so far, together at
+/// most about 100 KB.
+pub const MAX_RUNNING_ITEMS: usize = 96;
+
 /// Dependencies that all item runs share.
 pub struct ItemContext {
     /// Places items at upstreams.
@@ -32,6 +37,8 @@
     pub replica: Arc<JobReplica>,
     /// Decides which item requests a permit next.
     pub queue: ItemQueue,
+    /// Limits the items that run here at once, whatever their upstreams.
+    pub run_slots: Arc<Semaphore>,
     /// Refuses items whose prompts crash upstreams.
     pub quarantine: Arc<QuarantineService>,
     /// Items that are held back as their prompts crash upstreams.
--- a/crates/serve/src/batch/item_run.rs
+++ b/crates/serve/src/batch/item_run.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use rand::RngExt;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::attempt::{
@@ -145,7 +146,7 @@
     /// deadline.
     async fn hold(&mut self) {
         if self.held.is_none() {
-            self.held = Some(self.context.held_items.add());
+            self.held = Some(self.context.held_items.add(&self.pending.job));
             let (job, item) = (&self.pending.job, &self.pending.item.id);
             let parts = join_parts(&self.shared_parts);
             log::info!("event=item_held job={job} item={item} parts={parts}");
@@ -187,7 +188,7 @@
             return ItemStep::RetryLater;
         };
         let waiting = self.waiting_item(&route);
-        let Some(permit) = self.acquire_permit(group, waiting).await else {
+        let Some((permit, _run_slot)) = self.acquire_permit(group, waiting).await else {
             return ItemStep::Retry;
         };
         if !self.progress.has_started() && !(self.may_start)() {
@@ -234,25 +235,26 @@
         }
     }
 
-    /// Waits for the item's turn and requests a permit; delays if none is granted.
+    /// Waits for the item's turn and requests a permit; delays if none is granted. The slot of this
+    /// instance is held for as long as the item runs.
     async fn acquire_permit(
         &self,
         group: &UpstreamGroupId,
         waiting: WaitingItem,
-    ) -> Option<UpstreamPermit> {
-        let _turn = self.context.queue.take_turn(group, waiting).await;
-        match self
-            .context
-            .placement
-            .acquire(group, PlacementDemand::Batch, &[])
-            .await
-        {
-            PoolStep::Send(permit) => Some(permit),
-            PoolStep::Refuse { .. } | PoolStep::NoUpstream => {
-                RetryDelay::default().wait().await;
-                None
+    ) -> Option<(UpstreamPermit, OwnedSemaphorePermit)> {
+        let context = &self.context;
+        let _turn = context.queue.take_turn(group, waiting).await;
+        if let Ok(run_slot) = context.run_slots.clone().try_acquire_owned() {
+            let placed = context
+                .placement
+                .acquire(group, PlacementDemand::Batch, &[])
+                .await;
+            if let PoolStep::Send(permit) = placed {
+                return Some((permit, run_slot));
             }
         }
+        RetryDelay::default().wait().await;
+        None
     }
 
     fn is_past_deadline(&self, route: &RouteRule) -> bool {
--- a/crates/serve/src/batch/worker.rs
+++ b/crates/serve/src/batch/worker.rs
@@ -4,31 +4,35 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_kernel::job_table::TrackedJob;
+use amaranth_kernel::job_table::{JobTable, TrackedJob};
+use amaranth_kernel::start_limit::StartLimit;
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_net::state_lock::StateMutex;
 use amaranth_net::telemetry::quote;
-use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemEnd};
-use amaranth_wire::id::{ItemId, JobId};
+use amaranth_wire::batch_entry::{BatchEntry, BlobRef, ItemEnd, SubmittedJob};
+use amaranth_wire::id::{ConfigRevision, ItemId, JobId, UpstreamGroupId};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
-use crate::batch::item_context::{ItemContext, RouteFinderFactory, StartCheck};
+use crate::batch::item_context::{
+    ItemContext, MAX_RUNNING_ITEMS, RouteFinder, RouteFinderFactory, StartCheck,
+};
 use crate::batch::item_run::{ItemRun, ItemRunEnd, PendingItem};
 use crate::batch::progress::{ProgressWriter, RunProgress};
 use crate::batch::replica::JobReplica;
 use crate::batch::shards::ShardAssignment;
 use crate::log_access::NewEntry;
 use crate::panic_guard::contain_async;
+use crate::route_state::RouteLookup;
 
 /// Longest time between two scans for items to start.
 const SCAN_PERIOD: Duration = Duration::from_millis(500);
-/// Most items that run here at once. Each holds a connection and its output so far, together at
-/// most about 100 KB.
-const MAX_RUNNING_ITEMS: usize = 96;
+/// Most items that are started here for the same groups of upstreams: as many as may run. Those that wait
+/// for a slot need little memory.
+const MAX_STARTED_ITEMS: usize = MAX_RUNNING_ITEMS;
 /// How long the records of a rejected submission are kept: far longer than an append that got no
 /// reply may take, so that a late one is rejected, too.
 const REJECTION_RETENTION: Duration = Duration::from_secs(30);
@@ -116,51 +120,81 @@
         }
     }
 
-    /// Returns the items to start, oldest jobs first, up to the limit of running items.
+    /// Returns the items to start, oldest jobs first, up to the limit of each set of groups.
     fn startable_items(&self) -> Vec<PendingItem> {
         if !self.replica.has_progress() {
             return Vec::new();
         }
         let running = self.running.lock();
-        let count: usize = running.values().map(|job| job.items.len()).sum();
-        let held = self.context.held_items.count();
-        let capacity = MAX_RUNNING_ITEMS.saturating_sub(count.saturating_sub(held));
         let now_ms = unix_ms();
         self.replica.with_table(|table| {
+            let mut limit = self.count_started(table, &running);
             let open = table
                 .jobs()
                 .filter(|(_, job)| !job.is_ended() && !job.is_complete());
             let submitted = open.filter_map(|(id, job)| Some((id, job, job.submission()?)));
             let mut submitted: Vec<_> = submitted.collect();
             submitted.sort_by_key(|(_, _, submission)| submission.received_ms);
-            let items = submitted.into_iter().flat_map(|(id, job, submission)| {
+            let mut startable = Vec::new();
+            for (id, job, submission) in submitted {
+                let groups = self.groups(submission);
                 let running_job = running.get(id);
                 let known_for =
                     Duration::from_millis(now_ms.saturating_sub(submission.received_ms));
-                let items = submission.items.iter().enumerate();
-                let waiting = items.filter(move |(_, item)| {
-                    !job.is_item_done(&item.id)
-                        && !running_job
-                            .is_some_and(|running_job| running_job.items.contains(&item.id))
-                        && self.shards.may_run(item.id.as_str(), known_for)
-                        && !is_claimed(job, &item.id, &self.shards)
-                });
-                waiting.map(move |(index, item)| PendingItem {
-                    job: id.clone(),
-                    item: item.clone(),
-                    index,
-                    bodies: submission.bodies.clone(),
-                    host: submission.host.clone(),
-                    path: submission.path.clone(),
-                    received_ms: submission.received_ms,
-                    revision: submission.revision,
-                    saved_output: job.partial_output(&item.id).cloned(),
-                })
-            });
-            items.take(capacity).collect()
+                for (index, item) in submission.items.iter().enumerate() {
+                    if !limit.has_room(&groups) {
+                        break;
+                    }
+                    let is_running = running_job.is_some_and(|job| job.items.contains(&item.id));
+                    if job.is_item_done(&item.id)
+                        || is_running
+                        || !self.shards.may_run(item.id.as_str(), known_for)
+                        || is_claimed(job, &item.id, &self.shards)
+                    {
+                        continue;
+                    }
+                    limit.count(groups.clone(), 1);
+                    startable.push(pending_item(job, submission, index));
+                }
+            }
+            startable
         })
     }
 
+    /// Counts the items that wait or run here, without those that are held back.
+    fn count_started(
+        &self,
+        table: &JobTable,
+        running: &HashMap<JobId, RunningJob>,
+    ) -> StartLimit<Vec<UpstreamGroupId>> {
+        let mut limit = StartLimit::new(MAX_STARTED_ITEMS);
+        for (id, job) in running {
+            let submission = table.job(id).and_then(|job| job.submission());
+            let groups = submission.map(|submission| self.groups(submission));
+            let held = self.context.held_items.count(id);
+            let started = job.items.len().saturating_sub(held);
+            limit.count(groups.unwrap_or_default(), started);
+        }
+        limit
+    }
+
+    /// Groups that the items of a job can be sent to; none while its route is not known.
+    fn groups(&self, submission: &SubmittedJob) -> Vec<UpstreamGroupId> {
+        match self.route_finder(submission.revision, &submission.host, &submission.path)() {
+            RouteLookup::Found(route) => {
+                let shares = route.shares.iter();
+                shares.map(|share| share.group.clone()).collect()
+            }
+            RouteLookup::NotLoaded | RouteLookup::Outdated(_) | RouteLookup::NotFound(_) => {
+                Vec::new()
+            }
+        }
+    }
+
+    fn route_finder(&self, revision: ConfigRevision, host: &str, path: &str) -> RouteFinder {
+        (self.config.route_finder_factory)(revision, host, path)
+    }
+
     /// Creates the check that an item may still be started here.
     fn start_check(&self, id: &JobId, item: &ItemId) -> StartCheck {
         let (replica, shards) = (self.replica.clone(), self.shards.clone());
@@ -312,6 +346,21 @@
     }
 }
 
+fn pending_item(job: &TrackedJob, submission: &SubmittedJob, index: usize) -> PendingItem {
+    let item = &submission.items[index];
+    PendingItem {
+        job: submission.job.clone(),
+        item: item.clone(),
+        index,
+        bodies: submission.bodies.clone(),
+        host: submission.host.clone(),
+        path: submission.path.clone(),
+        received_ms: submission.received_ms,
+        revision: submission.revision,
+        saved_output: job.partial_output(&item.id).cloned(),
+    }
+}
+
 /// Whether another live instance has claimed an item.
 fn is_claimed(job: &TrackedJob, item: &ItemId, shards: &ShardAssignment) -> bool {
     let is_alive = |member: &str| shards.is_member(member);
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -10,7 +10,7 @@
 use amaranth_net::telemetry;
 use amaranth_wire::id::{DataCentreId, InstanceId};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -19,7 +19,7 @@
 use crate::batch::blobs::BlobStore;
 use crate::batch::commit::BatchCommitter;
 use crate::batch::intake::JobIntake;
-use crate::batch::item_context::{ItemContext, RouteFinderFactory};
+use crate::batch::item_context::{ItemContext, MAX_RUNNING_ITEMS, RouteFinderFactory};
 use crate::batch::item_queue::ItemQueue;
 use crate::batch::job_reader::JobReader;
 use crate::batch::progress::ProgressWriter;
@@ -343,6 +343,7 @@
         blobs: blobs.clone(),
         replica: replica.clone(),
         queue: ItemQueue::new(),
+        run_slots: Arc::new(Semaphore::new(MAX_RUNNING_ITEMS)),
         quarantine: quarantine.clone(),
         held_items: Arc::default(),
     };
