--- a/crates/kernel/src/crash_evidence.rs
+++ b/crates/kernel/src/crash_evidence.rs
@@ -5,8 +5,8 @@
 //! the sound requests that it served. Sound requests share all other parts with them.
 //!
 //! A part is suspected if requests with it are lost in crashes at different moments, and acquitted if an
-//! upstream answers any request with it. Instances see few requests each, so their reports are judged together, and all
-//! are asked for such answers before a part is convicted.
+//! upstream answers any request with it. Instances see few requests each, so their reports are judged
+//! together, and all are asked for such answers before a part is convicted.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
