--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of this review, with the standard library only.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2024 -O -o target/review-2/scene review/standin-2/main.rs
