--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod silent_runners;
 mod silent_store;
 mod store;
+mod template;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
