--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the review: `scene CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and
 //! 2 if the case couldn't run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod doubled_quota;
 mod ended_lot;
 mod front;
 mod http;
@@ -37,6 +38,7 @@
             "moved-route" => moved_route::play(scene, trouble),
             "ended-lot" => ended_lot::play(scene, trouble),
             "silent-runners" => silent_runners::play(scene, trouble),
+            "doubled-quota" => doubled_quota::play(scene, trouble),
             other => panic!("no case {other}"),
         }
     }));
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -56,6 +56,8 @@
     life: Mutex<Arc<Life>>,
     running: Mutex<Vec<(u64, Running)>>,
     next: AtomicU64,
+    /// Whose requests it ran, and when.
+    tenants: Mutex<Vec<(Duration, String)>>,
 }
 
 impl Runner {
@@ -70,6 +72,7 @@
             life: Mutex::default(),
             running: Mutex::default(),
             next: AtomicU64::new(0),
+            tenants: Mutex::default(),
         });
         runner.listen(listener);
         runner
@@ -139,6 +142,11 @@
         running.iter().map(|(_, running)| running.clone()).collect()
     }
 
+    /// Whose requests it ran, and when.
+    pub fn tenants(&self) -> Vec<(Duration, String)> {
+        self.tenants.lock().unwrap().clone()
+    }
+
     /// Number of requests that it began to run.
     pub fn starts(&self) -> usize {
         self.next.load(Ordering::Relaxed) as usize
@@ -191,6 +199,10 @@
             .unwrap_or(0);
         self.record
             .write(&format!("runner {} runs {id} after event {after}", self.id));
+        if let Some(tenant) = request.header("x-tenant") {
+            let mut tenants = self.tenants.lock().unwrap();
+            tenants.push((self.record.elapsed(), tenant.to_owned()));
+        }
         let ended = match request.path().starts_with("/fetch/") {
             true => self.answer_whole(&id, out),
             false => self.stream(&id, after, number, out, life),
--- a/review/standin-2/scene.rs
+++ b/review/standin-2/scene.rs
@@ -81,20 +81,32 @@
 
     /// Writes a configuration with one batch route and one of whole answers.
     pub fn configure(&self, version: u64, service: &str, fetch_service: &str) {
+        self.configure_tenants(version, service, fetch_service, "");
+    }
+
+    /// Writes a configuration with tenants, if any are given.
+    pub fn configure_tenants(
+        &self,
+        version: u64,
+        service: &str,
+        fetch_service: &str,
+        tenants: &str,
+    ) {
         let services = ["llm", "llm-new", "app", "app-new"].map(|name| {
             format!("{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":8,\"kvCacheTokens\":147261}}}}")
         });
         let text = format!(
-            "{{\"version\":{version},\"routes\":[{{\"name\":\"lots\",\"host\":\"{HOST}\",\"pathPrefix\":\"/pule252/\",\"kind\":\"batch\",\"timeoutMs\":15000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"{service}\",\"maxAttempts\":3,\"sticky\":true,\"completionTargetMs\":18000,\"retentionS\":60}},{{\"name\":\"fetch\",\"host\":\"{HOST}\",\"pathPrefix\":\"/fetch/\",\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"{fetch_service}\",\"maxAttempts\":2}}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+            "{{\"version\":{version},\"routes\":[{{\"name\":\"lots\",\"host\":\"{HOST}\",\"pathPrefix\":\"/pule252/\",\"kind\":\"batch\",\"timeoutMs\":15000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"{service}\",\"maxAttempts\":3,\"sticky\":true,\"completionTargetMs\":18000,\"retentionS\":60}},{{\"name\":\"fetch\",\"host\":\"{HOST}\",\"pathPrefix\":\"/fetch/\",\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"{fetch_service}\",\"maxAttempts\":2}}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}{tenants}}}",
             services.join(",")
         );
         self.store.put("keyed.op", "config", &text);
         self.record.write(&format!("configuration {version} is acknowledged: lots run at {service}, fetches at {fetch_service}"));
     }
 
-    /// Starts instances and waits until they are ready.
+    /// Starts more instances and waits until they are ready.
     pub fn start_fronts(&mut self, count: usize) {
-        for index in 0..count {
+        let first = self.fronts.len();
+        for index in first..first + count {
             self.fronts
                 .push(Front::start(index, self.store.address, &self.folder));
         }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -28,6 +28,8 @@
     appended: Condvar,
     /// Number of the next connection, and of the first one that isn't silent.
     next_connection: AtomicU64,
+    /// Member whose reads of the group's owners are refused, and the connection on which it joined last.
+    refused: Mutex<(String, u64)>,
     first_heard: AtomicU64,
 }
 
@@ -92,6 +94,7 @@
             state: Mutex::default(),
             appended: Condvar::new(),
             next_connection: AtomicU64::default(),
+            refused: Mutex::default(),
             first_heard: AtomicU64::default(),
         });
         let served = store.clone();
@@ -131,6 +134,11 @@
         while self.is_silent(number) && http::read(&mut reader).is_ok() {}
     }
 
+    /// Refuses a member's reads of the group's owners with 429; an empty name ends it.
+    pub fn refuse_owners(&self, member: &str) {
+        *self.refused.lock().unwrap() = (member.to_owned(), u64::MAX);
+    }
+
     /// Makes all open connections silent for good, in both directions. New ones work. Returns their number.
     pub fn silence_connections(&self) -> u64 {
         let next = self.next_connection.load(Ordering::SeqCst);
@@ -157,9 +165,24 @@
                 };
             }
             "/-/log-newest" => self.newest(partition, &request.query("after").unwrap_or_default()),
-            "/-/log-join" => self.join(&request.text()),
+            "/-/log-join" => {
+                let body = request.text();
+                let mut refused = self.refused.lock().unwrap();
+                if !refused.0.is_empty() && text_field(&body, "member").contains(&refused.0) {
+                    refused.1 = connection;
+                }
+                drop(refused);
+                self.join(&body)
+            }
             "/-/log-leave" => self.leave(&request.text()),
-            "/-/log-owners" => self.owners(),
+            "/-/log-owners" => {
+                let refused = self.refused.lock().unwrap();
+                if !refused.0.is_empty() && refused.1 == connection {
+                    return http::answer(out, 429, &[], b"");
+                }
+                drop(refused);
+                self.owners()
+            }
             _ => return http::answer(out, 404, &[], b""),
         };
         if self.is_silent(connection) {
