--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -310,7 +310,7 @@
     /// Connections that send ahead at once.
     const CONNECTIONS: usize = 12;
     const ITEMS_PER_JOB: usize = 200;
-    const SENDING_TIME: Duration = Duration::from_secs(25);
+    const SENDING_TIME: Duration = Duration::from_secs(45);
     const CALM_TIME: Duration = Duration::from_secs(25);
     /// Time in which an ordinary client tries to read its job at the end.
     const READING_TIME: Duration = Duration::from_secs(15);
