Use an allocator's reply only for the question and run that it was made for

Cause: questions to allocators were numbered from 0 by each process, and a reply was taken by its number alone.

Evidence: two new log lines. In the case, with only the look at the group added, the new process logs in one millisecond grant_ignored group=sketch-store upstream=i-llm and placement_reply_ignored number=0 reason=not_awaited: two replies with its number from one allocator, the first for the other group. Mixed-up groups at the allocator and an old list of upstreams are ruled out by that, as they bring a single reply.

Why it works: numbers begin at the run in the member name, so no reply to another run matches. Sender and group are compared, too. Datagrams stay as they were.

Twins: a killed process was listed beside its next run and took both parts in tasks that two members share (a team's requests counted twice); a faulty process was two witnesses against an upstream after a restart. Both mended here.

--- a/crates/kernel/src/outlier_reports.rs
+++ b/crates/kernel/src/outlier_reports.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use amaranth_wire::id::{DataCentreId, UpstreamId};
+use amaranth_wire::id::{DataCentreId, InstanceId, UpstreamId};
 
 /// Lifetime of a report, in milliseconds: slightly longer than the first ejection of an upstream,
 /// so that a recovered one is tried again.
@@ -23,8 +23,8 @@
 /// An instance that reports which upstreams it avoids when it requests a slot.
 #[derive(Debug, Clone, Copy)]
 pub struct ReportingMember<'a> {
-    /// Its member name.
-    pub member: &'a str,
+    /// Its instance: two runs of one process are one witness.
+    pub instance: &'a InstanceId,
     /// Where it runs.
     pub data_centre: &'a DataCentreId,
 }
@@ -38,7 +38,7 @@
 /// Unexpired reports of upstreams that instances avoid.
 #[derive(Debug, Default)]
 pub struct OutlierReports {
-    reports: HashMap<UpstreamId, BTreeMap<String, OutlierReport>>,
+    reports: HashMap<UpstreamId, BTreeMap<InstanceId, OutlierReport>>,
     /// The suspects of each data centre at the last `suspects_changed` call.
     last_suspects: HashMap<DataCentreId, Vec<UpstreamId>>,
 }
@@ -67,7 +67,7 @@
                 until_ms: now_ms + REPORT_EXPIRY_MS,
             };
             let reporters = self.reports.entry(upstream.clone()).or_default();
-            reporters.insert(reporter.member.to_owned(), report);
+            reporters.insert(reporter.instance.clone(), report);
         }
     }
 
@@ -100,7 +100,7 @@
     }
 }
 
-fn is_suspect(reporters: &BTreeMap<String, OutlierReport>, data_centre: &DataCentreId) -> bool {
+fn is_suspect(reporters: &BTreeMap<InstanceId, OutlierReport>, data_centre: &DataCentreId) -> bool {
     let locations = reporters.values().map(|report| &report.data_centre);
     let local = locations
         .clone()
--- a/crates/kernel/tests/outlier_reports.rs
+++ b/crates/kernel/tests/outlier_reports.rs
@@ -35,7 +35,7 @@
             let avoided: Vec<_> = (0..*count).map(upstream).collect();
             let data_centre = data_centre_id(data_centre);
             let reporter = ReportingMember {
-                member,
+                instance: &member.parse().unwrap(),
                 data_centre: &data_centre,
             };
             reports.record(reporter, &avoided, 10, *at_ms);
@@ -51,7 +51,7 @@
     for member in ["one", "two"] {
         let data_centre = data_centre_id("a");
         let reporter = ReportingMember {
-            member,
+            instance: &member.parse().unwrap(),
             data_centre: &data_centre,
         };
         reports.record(reporter, &[upstream(0)], 10, 0);
@@ -88,7 +88,7 @@
         };
         let member = format!("m{instance}");
         let reporter = ReportingMember {
-            member: &member,
+            instance: &member.parse().unwrap(),
             data_centre: &data_centre,
         };
         reports.record(reporter, &avoided, upstreams, now_ms);
--- a/crates/serve/src/member_name.rs
+++ b/crates/serve/src/member_name.rs
@@ -1,6 +1,7 @@
 //! Names of the members of the group that shares the work. A name contains the address of its
 //! process, so that instances need nothing but the list of members to reach each other.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -31,6 +32,14 @@
     pub data_centre: DataCentreId,
 }
 
+impl MemberName {
+    /// First number of what this run counts. A reply to an earlier process at the same address has
+    /// another number.
+    pub fn first_number(&self) -> u64 {
+        u64::from(self.run) << u32::BITS
+    }
+}
+
 /// Error of parsing a member's name; holds the text.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseMemberError(pub String);
@@ -87,6 +96,57 @@
         .filter(move |member| Some(member.weight) == weight)
 }
 
+/// The members of the group, one run of each process. The store lists a killed process until its time is
+/// over, together with the one that was started in its place; both have one address and one part in the work.
+#[derive(Debug)]
+pub struct MemberRuns {
+    current: Vec<MemberName>,
+    /// Runs that are still listed, and that another one has followed.
+    former: Vec<MemberName>,
+}
+
+impl MemberRuns {
+    /// Starts with a list of this process only.
+    pub fn new(own: MemberName) -> Self {
+        Self {
+            current: vec![own],
+            former: Vec::new(),
+        }
+    }
+
+    /// The latest run of each process.
+    pub fn current(&self) -> &[MemberName] {
+        &self.current
+    }
+
+    /// Applies a list of members, and returns the runs that were current before. Of several runs at an
+    /// address the latest is this process, or else the one that was not listed before.
+    pub fn apply_list(&mut self, listed: Vec<MemberName>, own: &MemberName) -> Vec<MemberName> {
+        let lateness = |member: &MemberName| {
+            let is_former = self.former.contains(member);
+            (member == own, !is_former, !self.current.contains(member))
+        };
+        let mut latest: HashMap<SocketAddr, &MemberName> = HashMap::new();
+        for member in &listed {
+            let known = latest.entry(member.address).or_insert(member);
+            if lateness(known) < lateness(member) {
+                *known = member;
+            }
+        }
+        let (current, former) = listed
+            .iter()
+            .cloned()
+            .partition(|member| latest.get(&member.address) == Some(&member));
+        self.former = former;
+        std::mem::replace(&mut self.current, current)
+    }
+
+    /// Number of listed runs that another one has followed.
+    pub fn former_count(&self) -> usize {
+        self.former.len()
+    }
+}
+
 /// Lists of members that were replaced shortly before.
 #[derive(Debug, Default)]
 pub struct FormerLists(Vec<(Instant, Arc<Vec<MemberName>>)>);
--- a/crates/serve/src/placement_service.rs
+++ b/crates/serve/src/placement_service.rs
@@ -14,7 +14,7 @@
 use amaranth_kernel::slot_allocator::{PreemptionOrder, SlotAllocator, UpstreamSlots};
 use amaranth_net::clock::steady_ms;
 use amaranth_net::state_lock::{StateMutex, StateRwLock};
-use amaranth_wire::id::{DataCentreId, UpstreamGroupId, UpstreamId};
+use amaranth_wire::id::{UpstreamGroupId, UpstreamId};
 use amaranth_wire::placement_message::{
     PlacementDemand, PlacementMessage, PlacementReply, PlacementRequest, RequestWork,
 };
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::member_name::{FormerLists, MemberName, largest};
+use crate::member_name::{FormerLists, MemberName, MemberRuns, largest};
 use crate::peer_refresh;
 use crate::quota_service::QuotaService;
 use crate::route_state::RouteState;
@@ -68,7 +68,7 @@
     pub pool: Arc<UpstreamPool>,
     member: MemberName,
     socket: UdpSocket,
-    members: StateRwLock<Vec<MemberName>>,
+    members: StateRwLock<MemberRuns>,
     former_lists: StateMutex<FormerLists>,
     /// Tells the limits of groups.
     routes: OnceLock<Arc<RouteState>>,
@@ -110,9 +110,10 @@
     ) -> Result<Self> {
         let socket = UdpSocket::bind(member.address).await?;
         member.address = socket.local_addr()?;
+        let number = AtomicU64::new(member.first_number());
         Ok(Self {
             pool,
-            members: StateRwLock::new(vec![member.clone()]),
+            members: StateRwLock::new(MemberRuns::new(member.clone())),
             former_lists: StateMutex::default(),
             member,
             socket,
@@ -123,7 +124,7 @@
             reports: StateMutex::default(),
             pending: StateMutex::default(),
             silent_allocators: StateMutex::default(),
-            number: AtomicU64::new(0),
+            number,
             sequence: AtomicU64::new(0),
             inboxes,
             opened: Instant::now(),
@@ -150,13 +151,19 @@
 
     /// Returns the members known to this instance.
     pub fn members(&self) -> Vec<MemberName> {
-        self.members.read().clone()
+        self.members.read().current().to_vec()
     }
 
     /// Replaces the list of members.
-    pub fn set_members(&self, members: Vec<MemberName>) {
-        log::info!("event=members_changed count={}", members.len());
-        let before = std::mem::replace(&mut *self.members.write(), members);
+    pub fn set_members(&self, listed: Vec<MemberName>) {
+        let mut members = self.members.write();
+        let before = members.apply_list(listed, &self.member);
+        log::info!(
+            "event=members_changed count={} former_runs={}",
+            members.current().len(),
+            members.former_count()
+        );
+        drop(members);
         if self.knows_members() {
             self.former_lists.lock().push(before);
         }
@@ -233,12 +240,21 @@
                 expected,
             }) => {
                 let batch = demand == PlacementDemand::Batch;
-                match self.pool.issue_permit(&upstream, load, batch) {
+                let is_excluded = excluded.contains(&upstream);
+                let permit = (!is_excluded)
+                    .then(|| self.pool.issue_permit(group, &upstream, load, batch))
+                    .flatten();
+                match permit {
                     Some(mut permit) => {
                         permit.expect(expected);
                         PoolStep::Send(permit)
                     }
-                    None => self.pool.choose(group, demand, excluded),
+                    None => {
+                        log::info!(
+                            "event=grant_ignored group={group} upstream={upstream} excluded={is_excluded}"
+                        );
+                        self.pool.choose(group, demand, excluded)
+                    }
                 }
             }
             Some(PlacementReply::Refused { retry_after_ms }) => PoolStep::Refuse { retry_after_ms },
@@ -249,7 +265,7 @@
     /// Returns the members that share a task of the whole fleet, in order of preference. Only the
     /// largest machines are eligible: the others have little processor time to spare.
     pub fn preferred_members(&self, task: &str) -> Vec<MemberName> {
-        preferred(&self.members.read(), task)
+        preferred(self.members.read().current(), task)
     }
 
     /// Returns the members that shared a task by the lists of shortly before, and are still there.
@@ -257,7 +273,9 @@
         let former_lists = self.former_lists.lock().recent();
         let former = former_lists.iter().flat_map(|list| preferred(list, task));
         let members = self.members.read();
-        former.filter(|member| members.contains(member)).collect()
+        former
+            .filter(|member| members.current().contains(member))
+            .collect()
     }
 
     /// Asks the allocators of a group in turn; `None` if none replies.
@@ -274,7 +292,7 @@
             }
             let number = self.number.fetch_add(1, Ordering::Relaxed);
             let (sender, receiver) = oneshot::channel();
-            let open = OpenRequest::new(&self.pending, number, sender);
+            let open = OpenRequest::new(&self.pending, number, allocator.address, sender);
             let request = PlacementRequest {
                 member: self.member.to_string(),
                 number,
@@ -300,8 +318,7 @@
         excluded: &[UpstreamId],
     ) -> Option<PlacementReply> {
         if *allocator == self.member {
-            let (reply, preemption) =
-                self.allocate(&self.member.data_centre, group, &request, excluded);
+            let (reply, preemption) = self.allocate(&self.member, group, &request, excluded);
             self.send_preemption(preemption).await;
             return Some(reply);
         }
@@ -332,15 +349,16 @@
 
     fn allocate(
         &self,
-        data_centre: &DataCentreId,
+        requester: &MemberName,
         group: &UpstreamGroupId,
         request: &PlacementRequest,
         excluded: &[UpstreamId],
     ) -> (PlacementReply, Option<PreemptionOrder>) {
         let now_ms = steady_ms();
         let serving = self.pool.serving(group, &[]);
+        let data_centre = &requester.data_centre;
         let reporter = ReportingMember {
-            member: &request.member,
+            instance: &requester.instance,
             data_centre,
         };
         // What leaves isn't suspected, and doesn't count against the reporter.
--- a/crates/serve/src/placement_service/datagrams.rs
+++ b/crates/serve/src/placement_service/datagrams.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use amaranth_net::clock::steady_ms;
-use amaranth_wire::placement_message::PlacementMessage;
+use amaranth_wire::placement_message::{PlacementMessage, PlacementReply};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::open_request::{ReplyUse, take_waiting};
 use super::{COUNTS_DELAY, MAX_DATAGRAM_BYTES, PlacementService};
 use crate::member_name::MemberName;
 use crate::panic_guard::contain_async;
@@ -59,8 +60,7 @@
             } => match request.member.parse::<MemberName>() {
                 Ok(member) => {
                     let number = request.number;
-                    let (reply, preemption) =
-                        self.allocate(&member.data_centre, &group, &request, &excluded);
+                    let (reply, preemption) = self.allocate(&member, &group, &request, &excluded);
                     self.send(&PlacementMessage::Reply { number, reply }, from)
                         .await;
                     self.send_preemption(preemption).await;
@@ -70,13 +70,7 @@
                     e.to_string()
                 ),
             },
-            PlacementMessage::Reply { number, reply } => {
-                let mut pending = self.pending.lock();
-                if let Some(waiting) = pending.get_mut(&number).and_then(Option::take) {
-                    // The receiver may have timed out in the meantime.
-                    let _ = waiting.send(reply);
-                }
-            }
+            PlacementMessage::Reply { number, reply } => self.handle_reply(number, reply, from),
             PlacementMessage::Preempt { upstream } => self.pool.preempt(&upstream),
             PlacementMessage::Leaving(upstreams) => {
                 for leaving in &upstreams {
@@ -101,4 +95,21 @@
             }
         }
     }
+
+    /// Hands a reply to the request that waits for it. Allocators that were frozen also reply to requests
+    /// that are given up, and to those of processes that used this address before.
+    fn handle_reply(&self, number: u64, reply: PlacementReply, from: SocketAddr) {
+        let taken = take_waiting(&mut self.pending.lock(), number, from);
+        let reason = match taken {
+            ReplyUse::Awaited(waiting) => {
+                // The receiver may have timed out in the meantime.
+                let _ = waiting.send(reply);
+                return;
+            }
+            ReplyUse::Unknown => "not_awaited",
+            ReplyUse::OtherSender => "other_sender",
+        };
+        log::info!("event=placement_reply_ignored from={from} number={number} reason={reason}");
+        metrics::counter!("placement_replies_ignored_total", "reason" => reason).increment(1);
+    }
 }
--- a/crates/serve/src/upstream_pool.rs
+++ b/crates/serve/src/upstream_pool.rs
@@ -228,15 +228,19 @@
         registry.get(upstream).map(|notice| notice.address)
     }
 
-    /// Counts a request as in flight at an upstream; `None` if the upstream is unknown or leaving.
+    /// Counts a request as in flight at an upstream; `None` if the upstream is unknown, leaving, or of
+    /// another group.
     pub fn issue_permit(
         self: &Arc<Self>,
+        group: &UpstreamGroupId,
         upstream: &UpstreamId,
         load: f64,
         batch: bool,
     ) -> Option<UpstreamPermit> {
         let registry = self.registry.read();
-        let notice = registry.get(upstream).filter(|notice| !notice.leaving)?;
+        let notice = registry
+            .get(upstream)
+            .filter(|notice| !notice.leaving && notice.group == *group)?;
         let key = ConnectionKey {
             address: notice.address,
             owner: upstream.to_string(),
@@ -418,7 +422,7 @@
             PlacementDecision::NoUpstream => PoolStep::NoUpstream,
             PlacementDecision::Send { index, load } => {
                 let batch = demand == PlacementDemand::Batch;
-                match self.issue_permit(&serving[index].0, load, batch) {
+                match self.issue_permit(group, &serving[index].0, load, batch) {
                     Some(permit) => PoolStep::Send(permit),
                     None => PoolStep::NoUpstream,
                 }
--- a/crates/serve/tests/leaving_upstream.rs
+++ b/crates/serve/tests/leaving_upstream.rs
@@ -43,8 +43,12 @@
         sequence: 1,
     };
     pool.announce(upstream.clone(), notice);
-    let waiting = pool.issue_permit(&upstream, 0.0, true).unwrap();
-    let answered = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let waiting = pool
+        .issue_permit(&"group".parse().unwrap(), &upstream, 0.0, true)
+        .unwrap();
+    let answered = pool
+        .issue_permit(&"group".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     answered.record_leaving();
     let request = ForwardRequest {
         id: "r1".parse().unwrap(),
@@ -68,5 +72,8 @@
     }
     let connected = timeout(Duration::from_millis(200), listener.accept()).await;
     assert!(connected.is_err(), "the upstream got a connection");
-    assert!(pool.issue_permit(&upstream, 0.0, false).is_none());
+    assert!(
+        pool.issue_permit(&"group".parse().unwrap(), &upstream, 0.0, false)
+            .is_none()
+    );
 }
--- a/crates/serve/tests/odd_records.rs
+++ b/crates/serve/tests/odd_records.rs
@@ -112,7 +112,9 @@
     };
     let upstream: amaranth_wire::id::UpstreamId = "u".parse().unwrap();
     pool.announce(upstream.clone(), notice);
-    let permit = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let permit = pool
+        .issue_permit(&"group".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     for (running, waiting) in [(u32::MAX, u32::MAX), (u32::MAX, 1), (0, 0)] {
         permit.record_load(LoadReport {
             running,
--- a/crates/serve/tests/upstream_speed.rs
+++ b/crates/serve/tests/upstream_speed.rs
@@ -38,7 +38,9 @@
 #[test]
 fn slow_upstream_is_reported_after_its_request_has_ended() {
     let (pool, upstream) = pool();
-    let permit = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let permit = pool
+        .issue_permit(&"g".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     report(&permit, Some(250));
     drop(permit);
     let [count] = &pool.counts().rows[..] else {
@@ -46,7 +48,9 @@
     };
     assert_eq!((count.online, count.batch), (0, 0));
     assert_eq!(count.speed.map(|speed| speed.percent), Some(250));
-    let permit = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let permit = pool
+        .issue_permit(&"g".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     report(&permit, Some(100));
     assert_eq!(
         pool.counts().rows[0].speed.map(|speed| speed.percent),
@@ -60,7 +64,9 @@
 #[test]
 fn counts_are_as_before_without_a_reported_speed() {
     let (pool, upstream) = pool();
-    let permit = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let permit = pool
+        .issue_permit(&"g".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     report(&permit, None);
     assert_eq!(pool.counts().rows[0].speed, None);
     permit.record_success(Some(400.0));
@@ -71,7 +77,9 @@
 #[test]
 fn service_time_is_that_at_usual_speed() {
     let (pool, upstream) = pool();
-    let permit = pool.issue_permit(&upstream, 0.0, false).unwrap();
+    let permit = pool
+        .issue_permit(&"g".parse().unwrap(), &upstream, 0.0, false)
+        .unwrap();
     report(&permit, Some(250));
     permit.record_success(Some(25.0));
     let service_ms = pool.counts().rows[0].service_ms;
