Let an answer speak against all crashes before it, however long ago they were

Cause: a loss counted against a part for 30 s, an answer for it for 10 s. A crash that an answer had refuted counted again once that answer was forgotten.

Why it works: instances remember answers as long as there may be a loss that they refute, and tell their age; a judge drops the losses before that time and those in the 10 s after it, as before. Parts that crash upstreams are never answered, so they are found as soon.

The test of datagrams for former versions has a new name, as it also plays the new messages. In the other changed tests members tell ages, too.

--- a/crates/kernel/src/prompt_quarantine.rs
+++ b/crates/kernel/src/prompt_quarantine.rs
@@ -4,9 +4,9 @@
 use std::collections::HashMap;
 
 use amaranth_wire::id::PromptPartId;
-use amaranth_wire::quarantine_message::{QuarantineRule, RuleTest};
+use amaranth_wire::quarantine_message::{PartAnswer, QuarantineRule, RuleTest};
 
-use crate::crash_evidence::ALIBI_EXPIRY_MS;
+use crate::crash_evidence::{ALIBI_EXPIRY_MS, ANSWER_LIFETIME_MS};
 use crate::rule_tests::{TEST_PERMIT_MS, grant_test, replaces, return_test, test_due_ms};
 
 /// How long a rule is in force, in milliseconds: a year, so that time alone never lets a deadly part
@@ -53,6 +53,11 @@
         self.rule.until_ms > unix_ms && self.rule.matches(parts)
     }
 
+    /// Of two judges' evidence the one counts that is harder to refute.
+    fn require_answer_from(&mut self, from_ms: Option<u64>) {
+        self.rule.refuted_from_ms = self.rule.refuted_from_ms.max(from_ms);
+    }
+
     fn has_permit(&self, unix_ms: u64) -> bool {
         let permit = self.permit.as_ref();
         permit.is_some_and(|test| is_permitted(test, unix_ms))
@@ -116,6 +121,7 @@
             Some(known) => {
                 known.rule.until_ms = known.rule.until_ms.max(rule.until_ms);
                 known.on_log |= on_log;
+                known.require_answer_from(rule.refuted_from_ms);
                 let known_test = known.rule.test.as_ref();
                 if rule
                     .test
@@ -267,11 +273,39 @@
         expired
     }
 
+    /// Records from when on an answer refutes the rule with these parts, in milliseconds of Unix time.
+    pub fn record_refutation(&mut self, parts: &[PromptPartId], from_ms: u64) {
+        let mut rules = self.rules.iter_mut();
+        if let Some(known) = rules.find(|known| known.rule.parts == parts) {
+            known.require_answer_from(Some(from_ms));
+        }
+    }
+
     /// Returns what replaces the rules that blame a part which an upstream has answered: each rule
     /// with its successor, which blames the rest of its parts, if any is left.
     pub fn narrow(&self, answered: &PromptPartId) -> Vec<(QuarantineRule, Option<QuarantineRule>)> {
+        self.narrow_if(answered, |_| true)
+    }
+
+    /// As [`narrow`](Self::narrow), of the rules that an answer of this time refutes, in milliseconds of Unix time.
+    pub fn narrow_refuted(
+        &self,
+        answered: &PromptPartId,
+        answered_ms: u64,
+    ) -> Vec<(QuarantineRule, Option<QuarantineRule>)> {
+        let is_refuted = |from_ms| from_ms <= answered_ms;
+        self.narrow_if(answered, |rule| {
+            rule.refuted_from_ms.is_some_and(is_refuted)
+        })
+    }
+
+    fn narrow_if(
+        &self,
+        answered: &PromptPartId,
+        is_refuted: impl Fn(&QuarantineRule) -> bool,
+    ) -> Vec<(QuarantineRule, Option<QuarantineRule>)> {
         let blaming = self.rules().filter(|rule| rule.parts.contains(answered));
-        let narrowed = blaming.map(|rule| {
+        let narrowed = blaming.filter(|rule| is_refuted(rule)).map(|rule| {
             let mut narrower = rule.clone();
             narrower.parts.retain(|part| part != answered);
             let successor = (!narrower.parts.is_empty()).then_some(narrower);
@@ -308,16 +342,22 @@
         parts.cloned().collect()
     }
 
-    /// Returns the accused parts that an upstream has answered of late, and watches the others.
-    pub fn alibis(&mut self, accused: &[PromptPartId], now_ms: u64) -> Vec<PromptPartId> {
+    /// Returns when upstreams last answered the accused parts, as far as it is remembered, and watches the parts
+    /// of which no answer of late is known.
+    pub fn answers(&mut self, accused: &[PromptPartId], now_ms: u64) -> Vec<PartAnswer> {
         self.watched.retain(|_, until_ms| *until_ms > now_ms);
-        let (answered, open): (Vec<_>, Vec<_>) = accused
+        let open = accused
             .iter()
-            .cloned()
-            .partition(|part| self.is_answered(part, now_ms));
-        let open = open.into_iter().map(|part| (part, now_ms + WATCH_TIME_MS));
+            .filter(|part| !self.is_answered(part, now_ms));
+        let open = open.map(|part| (part.clone(), now_ms + WATCH_TIME_MS));
+        let open: Vec<_> = open.collect();
         self.watched.extend(open);
-        answered
+        let answers = accused.iter().filter_map(|part| {
+            let age_ms = now_ms.saturating_sub(*self.answered.get(part)?);
+            let part = part.clone();
+            (age_ms < ANSWER_LIFETIME_MS).then_some(PartAnswer { part, age_ms })
+        });
+        answers.collect()
     }
 
     fn is_answered(&self, part: &PromptPartId, now_ms: u64) -> bool {
@@ -325,12 +365,15 @@
         at_ms.is_some_and(|at_ms| at_ms + ALIBI_EXPIRY_MS > now_ms)
     }
 
-    /// Forgets expired answers, and all of them if too many are left.
+    /// Forgets expired answers, and the older half if too many are left.
     fn forget_answers(&mut self, now_ms: u64) {
         self.answered
-            .retain(|_, at_ms| *at_ms + ALIBI_EXPIRY_MS > now_ms);
+            .retain(|_, at_ms| *at_ms + ANSWER_LIFETIME_MS > now_ms);
         if self.answered.len() >= MAX_ANSWERED_PARTS {
-            self.answered.clear();
+            let mut times: Vec<_> = self.answered.values().copied().collect();
+            let (_, median_ms, _) = times.select_nth_unstable(MAX_ANSWERED_PARTS / 2);
+            let median_ms = *median_ms;
+            self.answered.retain(|_, at_ms| *at_ms > median_ms);
         }
     }
 }
--- a/crates/kernel/tests/crash_evidence.rs
+++ b/crates/kernel/tests/crash_evidence.rs
@@ -28,6 +28,12 @@
     }
 }
 
+/// The parts that are convicted together.
+fn convict(evidence: &mut CrashEvidence, now_ms: u64) -> Vec<Vec<PromptPartId>> {
+    let convictions = evidence.convict(now_ms).into_iter();
+    convictions.map(|conviction| conviction.parts).collect()
+}
+
 fn evidence(reports: &[ReportCase]) -> CrashEvidence {
     let mut evidence = CrashEvidence::new();
     for case in reports {
@@ -113,8 +119,12 @@
         let mut evidence = evidence(reports);
         let end_ms = reports.last().unwrap().0 + ALIBI_WAIT_MS;
         let expected: Vec<_> = expected.iter().map(|names| parts(names)).collect();
-        assert_eq!(evidence.convict(end_ms), expected, "{name}");
-        assert_eq!(evidence.convict(end_ms), Vec::<Vec<_>>::new(), "{name}");
+        assert_eq!(convict(&mut evidence, end_ms), expected, "{name}");
+        assert_eq!(
+            convict(&mut evidence, end_ms),
+            Vec::<Vec<_>>::new(),
+            "{name}"
+        );
     }
 }
 
@@ -213,14 +223,14 @@
     assert_eq!(evidence.record(report(&second), 90), parts("a d"));
     assert_eq!(evidence.next_judgement_ms(90), Some(90 + ALIBI_WAIT_MS));
     assert!(evidence.convict(90 + ALIBI_WAIT_MS - 1).is_empty());
-    evidence.acquit(&parts("a")[0], 100);
-    assert_eq!(evidence.convict(90 + ALIBI_WAIT_MS), [parts("d")]);
+    evidence.acquit(&parts("a")[0], 100, 100);
+    assert_eq!(convict(&mut evidence, 90 + ALIBI_WAIT_MS), [parts("d")]);
 }
 
 #[test]
 fn an_acquittal_expires() {
     let mut evidence = CrashEvidence::new();
-    evidence.acquit(&parts("d")[0], 0);
+    evidence.acquit(&parts("d")[0], 0, 0);
     for (at_ms, convicted) in [(100, 0), (ALIBI_EXPIRY_MS + 100, 1)] {
         let reports = [
             (at_ms, "u1", "r1", true, "d"),
@@ -233,3 +243,106 @@
         assert_eq!(judged.len(), convicted, "{at_ms}");
     }
 }
+
+/// Time at which the first crash of a case is reported.
+const FIRST_MS: u64 = 100_000;
+
+/// Plays crashes under one request each, and answers to requests with the same part. Instances tell of the last
+/// answer when the part is accused, and of later ones as they come. Returns whether the part is convicted.
+fn is_convicted(crashes: &[u64], answers: &[u64]) -> bool {
+    let mut evidence = CrashEvidence::new();
+    let mut times: Vec<_> = crashes.iter().map(|at_ms| (*at_ms, true)).collect();
+    times.extend(answers.iter().map(|at_ms| (*at_ms, false)));
+    times.sort();
+    let (mut last_answer, mut is_watched, mut convicted) = (None, false, false);
+    for (number, (after_ms, is_crash)) in times.into_iter().enumerate() {
+        let at_ms = FIRST_MS + after_ms;
+        convicted |= !evidence.convict(at_ms).is_empty();
+        if !is_crash {
+            last_answer = Some(at_ms);
+            if is_watched {
+                evidence.acquit(&parts("p")[0], at_ms, at_ms);
+            }
+            continue;
+        }
+        let report = LossReport {
+            upstream: format!("u{number}").parse().unwrap(),
+            request: format!("r{number}").parse().unwrap(),
+            begun: true,
+            age_ms: AGE_MS,
+            parts: parts("p"),
+        };
+        let accused = evidence.record(report, at_ms);
+        is_watched |= !accused.is_empty();
+        if let (Some(part), Some(answered_ms)) = (accused.first(), last_answer) {
+            evidence.acquit(part, answered_ms, at_ms);
+        }
+    }
+    let end_ms = FIRST_MS + crashes[crashes.len() - 1] + ALIBI_WAIT_MS;
+    convicted || !evidence.convict(end_ms).is_empty()
+}
+
+/// Guards against answers that are forgotten sooner than the crashes that they speak against (review/13): a
+/// sound part was convicted by two crashes that were more than 10 s apart.
+#[test]
+fn an_answer_speaks_against_the_crashes_before_it_however_long_ago_it_was() {
+    let gaps = [
+        600, 2_000, 5_000, 9_000, 11_000, 14_000, 20_000, 29_000, 29_900, 31_000, 40_000,
+    ];
+    for gap_ms in gaps {
+        for answer_ms in [1, gap_ms / 2, gap_ms - 1] {
+            let is_guilty = is_convicted(&[0, gap_ms], &[answer_ms]);
+            assert!(!is_guilty, "{gap_ms} ms, answered after {answer_ms} ms");
+        }
+        let crashes: Vec<_> = (0..5).map(|index| index * gap_ms).collect();
+        let answers: Vec<_> = crashes.iter().map(|at_ms| at_ms + gap_ms / 3).collect();
+        assert!(!is_convicted(&crashes, &answers), "five, {gap_ms} ms apart");
+        let is_guilty = is_convicted(&[0, gap_ms], &[]);
+        let in_time = gap_ms + ALIBI_WAIT_MS < 30_000;
+        assert_eq!(is_guilty, in_time, "{gap_ms} ms, never answered");
+    }
+}
+
+/// Guards against answers that hide a part which crashes upstreams from then on.
+#[test]
+fn crashes_after_the_last_answer_convict_as_soon_as_others() {
+    for (crashes, answer_ms, expected) in [
+        (&[0, 14_000, 14_100][..], 3_000, true),
+        (&[0, 12_000, 24_000], 500, true),
+        (&[0, 14_000, 14_100], 14_050, false),
+        (&[0, 5_000, 9_000], 500, false),
+        (&[0, 11_000, 12_000], 500, true),
+    ] {
+        let is_guilty = is_convicted(crashes, &[answer_ms]);
+        assert_eq!(
+            is_guilty, expected,
+            "{crashes:?}, answered after {answer_ms} ms"
+        );
+    }
+}
+
+/// Guards against a rule that outlives an answer which comes late, and against one that ends though enough
+/// crashes followed the answer.
+#[test]
+fn a_conviction_tells_which_answers_refute_it() {
+    // Times of crashes, and of the first answer that leaves too few of them.
+    for (crashes, refuted_from_ms) in [
+        (&[0, 14_000][..], 0),
+        (&[0, 5_000, 14_000], 5_000),
+        (&[0, 14_000, 14_001], 0),
+    ] {
+        let mut evidence = CrashEvidence::new();
+        for (number, after_ms) in crashes.iter().enumerate() {
+            let (upstream, request) = (format!("u{number}"), format!("r{number}"));
+            let case = (*after_ms, &*upstream.leak(), &*request.leak(), true, "p");
+            evidence.record(report(&case), FIRST_MS + after_ms);
+        }
+        let convictions = evidence.convict(FIRST_MS + 14_001 + ALIBI_WAIT_MS);
+        let times: Vec<_> = convictions
+            .iter()
+            .map(|conviction| conviction.refuted_from_ms)
+            .collect();
+        let expected = FIRST_MS + refuted_from_ms + 1 - ALIBI_EXPIRY_MS;
+        assert_eq!(times, [expected], "{crashes:?}");
+    }
+}
--- a/crates/kernel/tests/prompt_quarantine.rs
+++ b/crates/kernel/tests/prompt_quarantine.rs
@@ -1,9 +1,9 @@
 //! Rules against prompts that crash upstreams, and what an instance knows in favour of their parts.
 
-use amaranth_kernel::crash_evidence::ALIBI_EXPIRY_MS;
+use amaranth_kernel::crash_evidence::{ALIBI_EXPIRY_MS, ANSWER_LIFETIME_MS};
 use amaranth_kernel::prompt_quarantine::PromptQuarantine;
 use amaranth_wire::id::PromptPartId;
-use amaranth_wire::quarantine_message::QuarantineRule;
+use amaranth_wire::quarantine_message::{PartAnswer, QuarantineRule};
 
 fn parts(names: &str) -> Vec<PromptPartId> {
     let names = names.split_whitespace();
@@ -15,6 +15,7 @@
         parts: parts(names),
         until_ms,
         test: None,
+        refuted_from_ms: None,
     }
 }
 
@@ -58,14 +59,66 @@
     let mut quarantine = PromptQuarantine::new();
     assert!(quarantine.record_answer(&parts("a b"), 0).is_empty());
     assert_eq!(quarantine.unanswered(&parts("a c"), 1), parts("c"));
-    assert_eq!(quarantine.alibis(&parts("a c"), 1), parts("a"));
-    assert_eq!(quarantine.alibis(&parts("a"), ALIBI_EXPIRY_MS), parts(""));
+    assert_eq!(
+        quarantine.unanswered(&parts("a"), ALIBI_EXPIRY_MS),
+        parts("a")
+    );
+    for age_ms in [1, ALIBI_EXPIRY_MS, ANSWER_LIFETIME_MS - 1] {
+        let answer = PartAnswer {
+            part: parts("a")[0].clone(),
+            age_ms,
+        };
+        assert_eq!(quarantine.answers(&parts("a c"), age_ms), [answer]);
+    }
+    assert_eq!(quarantine.answers(&parts("a"), ANSWER_LIFETIME_MS), []);
+}
+
+/// Guards against a flood of parts that makes an instance forget all that it has seen answered.
+#[test]
+fn the_latest_answers_are_remembered_beside_many_others() {
+    let mut quarantine = PromptQuarantine::new();
+    for index in 0..20_000 {
+        quarantine.record_answer(&parts(&format!("p{index}")), index);
+        let before = index.saturating_sub(1_000);
+        let answers = quarantine.answers(&parts(&format!("p{before}")), index);
+        assert_eq!(answers.len(), 1, "{index}");
+    }
+}
+
+/// Guards against rules that outlive an answer which refutes them, and against those that end by an older one.
+#[test]
+fn an_earlier_answer_ends_the_rules_that_it_refutes() {
+    for (known, from_ms, answered_ms, ends) in [
+        (None, None, 900, false),
+        (Some(500), None, 500, true),
+        (Some(500), None, 499, false),
+        (Some(500), Some(600), 599, false),
+        (Some(500), Some(400), 499, false),
+        (None, Some(500), 500, true),
+    ] {
+        let mut quarantine = PromptQuarantine::new();
+        let known = QuarantineRule {
+            refuted_from_ms: known,
+            ..rule("a d", 1_000)
+        };
+        quarantine.add_rule(known.clone(), false);
+        if let Some(from_ms) = from_ms {
+            quarantine.record_refutation(&known.parts, from_ms);
+        }
+        let narrowed = quarantine.narrow_refuted(&parts("a")[0], answered_ms);
+        let successors: Vec<_> = narrowed
+            .into_iter()
+            .map(|(_, successor)| successor.unwrap().parts)
+            .collect();
+        let expected = if ends { vec![parts("d")] } else { Vec::new() };
+        assert_eq!(successors, expected, "{known:?} {from_ms:?} {answered_ms}");
+    }
 }
 
 #[test]
 fn answers_to_accused_or_blamed_parts_are_reported() {
     let mut quarantine = PromptQuarantine::new();
-    quarantine.alibis(&parts("accused"), 0);
+    quarantine.answers(&parts("accused"), 0);
     quarantine.add_rule(rule("blamed d", 1_000), false);
     let answered = parts("a accused blamed");
     let reported = quarantine.record_answer(&answered, 1);
--- a/crates/kernel/tests/quarantine_load.rs
+++ b/crates/kernel/tests/quarantine_load.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use amaranth_kernel::crash_evidence::CrashEvidence;
+use amaranth_kernel::crash_evidence::{ALIBI_EXPIRY_MS, CrashEvidence};
 use amaranth_kernel::prompt_quarantine::{PromptQuarantine, RULE_LIFETIME_MS};
 use amaranth_wire::id::PromptPartId;
-use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
+use amaranth_wire::quarantine_message::{LossReport, PartAnswer, QuarantineRule};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -54,7 +54,8 @@
     Answered(SimRequest),
     Report(LossReport),
     Accuse(Vec<PromptPartId>),
-    Alibi(Vec<PromptPartId>),
+    /// Answers that a member remembers, and when it told of them.
+    Alibi(Vec<PartAnswer>, u64),
     InForce(QuarantineRule),
     Narrow(QuarantineRule, Option<QuarantineRule>),
     Judge,
@@ -118,7 +119,9 @@
                 let member = &mut self.members[request.member];
                 let reported = member.record_answer(&request.parts, self.now_ms);
                 if !reported.is_empty() {
-                    self.schedule(MESSAGE_MS, SimEvent::Alibi(reported));
+                    let answer = |part| PartAnswer { part, age_ms: 0 };
+                    let answers = reported.into_iter().map(answer).collect();
+                    self.schedule(MESSAGE_MS, SimEvent::Alibi(answers, self.now_ms));
                 }
             }
             SimEvent::Report(report) => {
@@ -130,11 +133,15 @@
             }
             SimEvent::Accuse(parts) => {
                 for member in 0..MEMBERS {
-                    let alibis = self.members[member].alibis(&parts, self.now_ms);
-                    self.schedule(MESSAGE_MS, SimEvent::Alibi(alibis));
+                    let answers = self.members[member].answers(&parts, self.now_ms);
+                    self.schedule(MESSAGE_MS, SimEvent::Alibi(answers, self.now_ms));
+                }
+            }
+            SimEvent::Alibi(answers, told_ms) => {
+                for answer in answers {
+                    self.acquit(&answer, told_ms);
                 }
             }
-            SimEvent::Alibi(parts) => parts.iter().for_each(|part| self.acquit(part)),
             SimEvent::InForce(rule) => {
                 for member in &mut self.members {
                     member.add_rule(rule.clone(), false);
@@ -224,12 +231,12 @@
     }
 
     fn judge(&mut self) {
-        for parts in self.evidence.convict(self.now_ms) {
-            let until_ms = self.now_ms + RULE_LIFETIME_MS;
+        for conviction in self.evidence.convict(self.now_ms) {
             let rule = QuarantineRule {
-                parts,
-                until_ms,
+                parts: conviction.parts,
+                until_ms: self.now_ms + RULE_LIFETIME_MS,
                 test: None,
+                refuted_from_ms: Some(conviction.refuted_from_ms),
             };
             self.schedule(MESSAGE_MS, SimEvent::InForce(rule));
         }
@@ -238,9 +245,15 @@
         }
     }
 
-    fn acquit(&mut self, part: &PromptPartId) {
-        self.evidence.acquit(part, self.now_ms);
-        for (rule, successor) in self.members[0].narrow(part) {
+    fn acquit(&mut self, answer: &PartAnswer, told_ms: u64) {
+        let PartAnswer { part, age_ms } = answer;
+        let answered_ms = told_ms.saturating_sub(*age_ms);
+        self.evidence.acquit(part, answered_ms, self.now_ms);
+        let narrowed = match *age_ms < ALIBI_EXPIRY_MS {
+            true => self.members[0].narrow(part),
+            false => self.members[0].narrow_refuted(part, answered_ms),
+        };
+        for (rule, successor) in narrowed {
             self.schedule(MESSAGE_MS, SimEvent::Narrow(rule, successor));
         }
     }
--- a/crates/kernel/tests/rule_tests.rs
+++ b/crates/kernel/tests/rule_tests.rs
@@ -31,6 +31,7 @@
         parts: parts(names),
         until_ms: RULE_LIFETIME_MS,
         test: None,
+        refuted_from_ms: None,
     }
 }
 
--- a/crates/serve/src/quarantine_service.rs
+++ b/crates/serve/src/quarantine_service.rs
@@ -16,7 +16,7 @@
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_net::state_lock::StateMutex;
 use amaranth_wire::id::{PromptPartId, RequestId};
-use amaranth_wire::quarantine_message::{LossReport, QuarantineRule};
+use amaranth_wire::quarantine_message::{LossReport, PartAnswer, QuarantineRule};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -62,6 +62,8 @@
     Lost(LossReport),
     /// Says that upstreams have answered requests with these parts.
     Answered(Vec<PromptPartId>),
+    /// Tells when upstreams answered requests with the parts of a rule that was read from the log.
+    RuleRead(Vec<PartAnswer>),
     /// Asks for a test of the rule with these parts.
     TestWanted(Vec<PromptPartId>),
 }
@@ -220,6 +222,12 @@
         call(&mut self.evidence.lock())
     }
 
+    /// When upstreams last answered requests with these parts, as far as this instance remembers.
+    pub(crate) fn answers(&self, parts: &[PromptPartId]) -> Vec<PartAnswer> {
+        let now_ms = steady_ms();
+        self.with_quarantine(|quarantine| quarantine.answers(parts, now_ms))
+    }
+
     /// Whether a rule in force refuses requests with these parts, and so explains a crash.
     pub(crate) fn is_refused(&self, parts: &[PromptPartId]) -> bool {
         let now_ms = unix_ms();
@@ -276,6 +284,10 @@
                 None => self.remove_by_key(&entry.key, source),
                 Some(Ok(rule)) => {
                     self.add_rule(rule.clone(), source);
+                    let answers = self.answers(&rule.parts);
+                    if !answers.is_empty() {
+                        self.queue(OutgoingNotice::RuleRead(answers));
+                    }
                     present.push(rule);
                 }
                 Some(Err(e)) => log::warn!(
--- a/crates/serve/src/quarantine_task.rs
+++ b/crates/serve/src/quarantine_task.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_kernel::crash_evidence::{ALIBI_EXPIRY_MS, PartConviction};
 use amaranth_kernel::prompt_quarantine::RULE_LIFETIME_MS;
 use amaranth_net::clock::{steady_ms, unix_ms};
 use amaranth_wire::id::PromptPartId;
 use amaranth_wire::placement_message::PlacementMessage;
-use amaranth_wire::quarantine_message::{LossReport, QuarantineMessage, QuarantineRule};
+use amaranth_wire::quarantine_message::{
+    LossReport, PartAnswer, QuarantineMessage, QuarantineRule,
+};
 use tokio::sync::mpsc;
 use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
@@ -83,15 +86,20 @@
 
 impl QuarantineTask {
     async fn handle_notice(&self, notice: OutgoingNotice) {
-        let message = match notice {
-            OutgoingNotice::Answered(parts) => QuarantineMessage::Answered(parts),
-            OutgoingNotice::Lost(report) => QuarantineMessage::Lost(report),
-            OutgoingNotice::TestWanted(parts) => QuarantineMessage::TestWanted {
-                parts,
-                member: self.placement.member().to_string(),
-            },
-        };
-        self.tell_judges(message).await;
+        match notice {
+            OutgoingNotice::Answered(parts) => {
+                self.tell_judges(QuarantineMessage::Answered(parts)).await;
+            }
+            OutgoingNotice::Lost(report) => {
+                self.tell_judges(QuarantineMessage::Lost(report)).await;
+            }
+            OutgoingNotice::RuleRead(answers) => self.tell_judges_of(answers).await,
+            OutgoingNotice::TestWanted(parts) => {
+                let member = self.placement.member().to_string();
+                self.tell_judges(QuarantineMessage::TestWanted { parts, member })
+                    .await;
+            }
+        }
     }
 
     /// Handles a message; `from` is `None` for this instance's own.
@@ -104,12 +112,23 @@
                     self.acquit(&part).await;
                 }
             }
+            QuarantineMessage::AnsweredEarlier(answers) => {
+                for answer in answers {
+                    self.weigh_answer(&answer).await;
+                }
+            }
             QuarantineMessage::InForce(rule) => {
                 let parts = rule.parts.clone();
                 if self.service.add_rule(rule, RuleSource::Member) {
+                    // The sender may end before it has heard of an answer.
                     self.answer_accusation(&parts, from).await;
+                    self.tell_judges_of(self.service.answers(&parts)).await;
                 }
             }
+            QuarantineMessage::RefutedFrom { parts, unix_ms } => {
+                self.service
+                    .with_quarantine(|quarantine| quarantine.record_refutation(&parts, unix_ms));
+            }
             QuarantineMessage::Ended(parts) => {
                 self.service.remove_rule(&parts, RuleSource::Member);
             }
@@ -131,28 +150,55 @@
         }
     }
 
+    /// Tells the sender of an accusation, or this instance itself, which answers speak against it.
     async fn answer_accusation(&self, parts: &[PromptPartId], from: Option<SocketAddr>) {
-        let now_ms = steady_ms();
-        let alibis = self
-            .service
-            .with_quarantine(|quarantine| quarantine.alibis(parts, now_ms));
-        if alibis.is_empty() {
-            return;
+        for message in answer_messages(self.service.answers(parts)) {
+            match from {
+                Some(from) => self.send(message, from).await,
+                None => self.send_own(message),
+            }
         }
-        let answered = QuarantineMessage::Answered(alibis);
-        match from {
-            Some(from) => self.send(answered, from).await,
-            None => self.send_own(answered),
+    }
+
+    async fn tell_judges_of(&self, answers: Vec<PartAnswer>) {
+        for message in answer_messages(answers) {
+            self.tell_judges(message).await;
         }
     }
 
+    /// Acquits a part that an upstream has answered of late.
     async fn acquit(&self, part: &PromptPartId) {
-        let now_ms = steady_ms();
-        self.service
-            .with_evidence(|evidence| evidence.acquit(part, now_ms));
+        self.drop_losses(part, 0);
         let narrowed = self
             .service
             .with_quarantine(|quarantine| quarantine.narrow(part));
+        self.replace_rules(narrowed).await;
+    }
+
+    /// Drops the losses that an earlier answer speaks against, and ends the rules that rest on them.
+    async fn weigh_answer(&self, answer: &PartAnswer) {
+        let PartAnswer { part, age_ms } = answer;
+        self.drop_losses(part, *age_ms);
+        let answered_ms = unix_ms().saturating_sub(*age_ms);
+        let narrowed = self
+            .service
+            .with_quarantine(|quarantine| quarantine.narrow_refuted(part, answered_ms));
+        self.replace_rules(narrowed).await;
+    }
+
+    fn drop_losses(&self, part: &PromptPartId, age_ms: u64) {
+        let now_ms = steady_ms();
+        let answered_ms = now_ms.saturating_sub(age_ms);
+        let losses = self
+            .service
+            .with_evidence(|evidence| evidence.acquit(part, answered_ms, now_ms));
+        if losses > 0 {
+            log::info!("event=losses_refuted part={part} losses={losses} age_ms={age_ms}");
+        }
+    }
+
+    /// Ends rules everywhere, and puts their successors in force.
+    async fn replace_rules(&self, narrowed: Vec<(QuarantineRule, Option<QuarantineRule>)>) {
         for (rule, successor) in narrowed {
             if let Some(successor) = successor {
                 self.put_in_force(successor).await;
@@ -170,11 +216,18 @@
         let convicted = self
             .service
             .with_evidence(|evidence| evidence.convict(now_ms));
-        for parts in convicted {
+        for conviction in convicted {
+            let PartConviction {
+                parts,
+                refuted_from_ms,
+            } = conviction;
+            let unix_ms = unix_ms();
+            let refuted_from_ms = unix_ms.saturating_sub(now_ms.saturating_sub(refuted_from_ms));
             let rule = QuarantineRule {
                 parts,
-                until_ms: unix_ms() + RULE_LIFETIME_MS,
+                until_ms: unix_ms + RULE_LIFETIME_MS,
                 test: None,
+                refuted_from_ms: Some(refuted_from_ms),
             };
             self.put_in_force(rule).await;
         }
@@ -183,7 +236,13 @@
     async fn put_in_force(&self, rule: QuarantineRule) {
         if self.service.add_rule(rule.clone(), RuleSource::Own) {
             self.store(&rule.parts, Some(&rule));
-            self.tell_members(QuarantineMessage::InForce(rule)).await;
+            let in_force = QuarantineMessage::InForce(rule.for_datagram());
+            self.tell_members(in_force).await;
+            if let Some(unix_ms) = rule.refuted_from_ms {
+                let parts = rule.parts;
+                self.tell_judges(QuarantineMessage::RefutedFrom { parts, unix_ms })
+                    .await;
+            }
         }
     }
 
@@ -308,6 +367,17 @@
     }
 }
 
+/// Messages that tell of answers: of the latest ones as older versions read them, too.
+fn answer_messages(answers: Vec<PartAnswer>) -> Vec<QuarantineMessage> {
+    let (late, earlier): (Vec<_>, Vec<_>) = answers
+        .into_iter()
+        .partition(|answer| answer.age_ms < ALIBI_EXPIRY_MS);
+    let late: Vec<_> = late.into_iter().map(|answer| answer.part).collect();
+    let late = (!late.is_empty()).then_some(QuarantineMessage::Answered(late));
+    let earlier = (!earlier.is_empty()).then_some(QuarantineMessage::AnsweredEarlier(earlier));
+    late.into_iter().chain(earlier).collect()
+}
+
 fn rule_record(parts: &[PromptPartId], rule: Option<&QuarantineRule>) -> NewEntry {
     NewEntry {
         key: rule_key(parts),
--- a/crates/wire/src/quarantine_message.rs
+++ b/crates/wire/src/quarantine_message.rs
@@ -33,6 +33,20 @@
     /// can't decode it in a datagram.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub test: Option<RuleTest>,
+    /// An answer to a request with the parts refutes the rule from this time on, in milliseconds of Unix
+    /// time; `None` in rules of older versions. Datagrams don't carry it, as older versions can't decode it
+    /// there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refuted_from_ms: Option<u64>,
+}
+
+/// When an upstream last answered a request with a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// The part.
+    pub part: PromptPartId,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Lets one request or item through that a rule refuses. Of several with the same number, the first on
@@ -52,6 +66,14 @@
 }
 
 impl QuarantineRule {
+    /// The rule as datagrams carry it.
+    pub fn for_datagram(&self) -> Self {
+        Self {
+            refuted_from_ms: None,
+            ..self.clone()
+        }
+    }
+
     /// Whether the rule refuses requests whose prompts have these parts. A rule without parts refuses
     /// none.
     pub fn matches(&self, parts: &[PromptPartId]) -> bool {
@@ -81,11 +103,22 @@
     Lost(LossReport),
     /// Asks which of these parts upstreams have answered.
     Accused(Vec<PromptPartId>),
-    /// Says that upstreams have answered requests with these parts.
+    /// Says that upstreams have answered requests with these parts of late.
     #[serde(rename = "Survived")]
     Answered(Vec<PromptPartId>),
+    /// Says when upstreams answered requests with parts, if that was longer ago. Older versions can't read it
+    /// and log it.
+    AnsweredEarlier(Vec<PartAnswer>),
     /// Puts a rule in force.
     InForce(QuarantineRule),
+    /// Tells the instances that judge from when on an answer refutes a rule. Older versions can't read it and
+    /// log it.
+    RefutedFrom {
+        /// Parts of the rule.
+        parts: Vec<PromptPartId>,
+        /// Milliseconds of Unix time.
+        unix_ms: u64,
+    },
     /// Ends the rule with these parts.
     Ended(Vec<PromptPartId>),
     /// Asks for a test of the rule with these parts, as a request or an item waits for its end.
--- a/crates/wire/tests/quarantine_message.rs
+++ b/crates/wire/tests/quarantine_message.rs
@@ -1,7 +1,7 @@
 //! Rules against prompts between members of different versions.
 
 use amaranth_wire::placement_message::PlacementMessage;
-use amaranth_wire::quarantine_message::{QuarantineMessage, QuarantineRule, RuleTest};
+use amaranth_wire::quarantine_message::{PartAnswer, QuarantineMessage, QuarantineRule, RuleTest};
 use serde::{Deserialize, Serialize};
 
 /// A rule of the versions before tests.
@@ -35,6 +35,7 @@
         parts: vec!["d".parse().unwrap()],
         until_ms: 7,
         test,
+        refuted_from_ms: None,
     }
 }
 
@@ -51,9 +52,16 @@
 #[test]
 fn former_versions_read_tested_rules_on_the_log() {
     for test in [None, Some(rule_test())] {
-        let bytes = rule(test).encode();
-        let read: FormerRule = rmp_serde::from_slice(&bytes).unwrap();
-        assert_eq!(read, former_rule());
+        for refuted_from_ms in [None, Some(9)] {
+            let rule = QuarantineRule {
+                refuted_from_ms,
+                ..rule(test.clone())
+            };
+            let bytes = rule.encode();
+            let read: FormerRule = rmp_serde::from_slice(&bytes).unwrap();
+            assert_eq!(read, former_rule());
+            assert_eq!(QuarantineRule::decode(&bytes).unwrap(), rule);
+        }
     }
 }
 
@@ -77,18 +85,32 @@
 }
 
 #[test]
-fn former_versions_learn_new_rules_from_datagrams_and_ignore_requests_for_tests() {
-    let in_force = QuarantineMessage::InForce(rule(None));
+fn former_versions_learn_new_rules_from_datagrams_and_ignore_what_they_cannot_read() {
+    let refutable = QuarantineRule {
+        refuted_from_ms: Some(9),
+        ..rule(None)
+    };
+    let in_force = QuarantineMessage::InForce(refutable.for_datagram());
     let datagram = PlacementMessage::Quarantine(in_force).encode();
     let read: FormerMessage = rmp_serde::from_slice(&datagram).unwrap();
     let expected = FormerMessage::Quarantine(FormerNotice::InForce(former_rule()));
     assert_eq!(read, expected);
-    let wanted = QuarantineMessage::TestWanted {
-        parts: rule(None).parts,
-        member: "m".to_owned(),
+    let parts = rule(None).parts;
+    let answer = PartAnswer {
+        part: parts[0].clone(),
+        age_ms: 12_000,
     };
-    let datagram = PlacementMessage::Quarantine(wanted).encode();
-    assert!(rmp_serde::from_slice::<FormerMessage>(&datagram).is_err());
-    let read = PlacementMessage::decode(&datagram);
-    assert!(matches!(read, Ok(PlacementMessage::Quarantine(_))));
+    for message in [
+        QuarantineMessage::TestWanted {
+            parts: parts.clone(),
+            member: "m".to_owned(),
+        },
+        QuarantineMessage::AnsweredEarlier(vec![answer]),
+        QuarantineMessage::RefutedFrom { parts, unix_ms: 9 },
+    ] {
+        let message = PlacementMessage::Quarantine(message);
+        let datagram = message.encode();
+        assert!(rmp_serde::from_slice::<FormerMessage>(&datagram).is_err());
+        assert_eq!(PlacementMessage::decode(&datagram).unwrap(), message);
+    }
 }
