Send batch items without headers of a connection and a length of their own

Cause: online requests lose these headers before they are forwarded, items did not.

Why it works: the length on the wire is made from the body that is sent. The head of an item is read by one function, when a job is checked and when an item is sent.

Twin: only the first line of Connection was looked at, for online requests, too.

--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -20,8 +20,8 @@
 use crate::memory_account::OverBudget;
 use crate::upstream_pool::{UpstreamPermit, UpstreamPool};
 
-/// Hop-by-hop headers, which apply to a single connection.
-const CONNECTION_HEADERS: [&str; 8] = [
+/// Hop-by-hop headers, which apply to a single connection, and the length of a body as it was received there.
+const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -30,6 +30,7 @@
     "transfer-encoding",
     "upgrade",
     "expect",
+    "content-length",
 ];
 
 /// A request as it is forwarded to upstreams.
@@ -157,12 +158,13 @@
     pub resume_after: Option<u64>,
 }
 
-/// Removes the hop-by-hop headers, including those named by `Connection`.
+/// Removes the hop-by-hop headers, including those named by `Connection`, and the length, which is set from the
+/// body that is sent.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named = headers.get(http::header::CONNECTION);
-    let named = named.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let named = headers.get_all(http::header::CONNECTION).into_iter();
+    let named = named.filter_map(|value| value.to_str().ok());
     let named: Vec<String> = named
-        .split(',')
+        .flat_map(|names| names.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
     for name in named.iter().map(String::as_str).chain(CONNECTION_HEADERS) {
--- a/crates/serve/src/batch/item_head.rs
+++ b/crates/serve/src/batch/item_head.rs
@@ -5,6 +5,8 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
+use crate::attempt::strip_connection_headers;
+
 /// Result of reading an item's head; the error names the invalid part.
 pub type Result<T> = std::result::Result<T, String>;
 
@@ -13,7 +15,7 @@
 pub struct ItemHead {
     /// Path and query.
     pub path: PathAndQuery,
-    /// Headers of the item and the host of its route.
+    /// Headers of the item, without those of a single connection, and the host of its route.
     pub headers: HeaderMap,
 }
 
@@ -29,6 +31,8 @@
                 .map_err(|e| format!("header name {name:?}: {e}"))?;
             headers.insert(key, header_value(name, value)?);
         }
+        // A length that isn't the body's would make the upstream take the next request for the rest of it.
+        strip_connection_headers(&mut headers);
         headers.insert(HOST, header_value("host", host)?);
         Ok(Self { path, headers })
     }
--- a/crates/serve/src/gateway.rs
+++ b/crates/serve/src/gateway.rs
@@ -318,7 +318,6 @@
             may_return: false,
         };
         strip_connection_headers(&mut request.headers);
-        request.headers.remove(CONTENT_LENGTH);
         let answer = online::forward(
             &self.forward,
             table,
--- a/crates/serve/src/online.rs
+++ b/crates/serve/src/online.rs
@@ -206,11 +206,9 @@
         .boxed_unsync()
 }
 
-/// Returns the headers of an upstream's answer that are relayed to the caller. The length is set
-/// from the body.
+/// Returns the headers of an upstream's answer that are relayed to the caller.
 fn relayed_headers(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
     strip_connection_headers(&mut headers);
-    headers.remove(http::header::CONTENT_LENGTH);
     headers
 }
