Read the members of the group again after a read that failed

Cause: members were read when the group's generation changed, and the generation counted as handled also if the read failed.

Evidence: event=members_not_listed once on one instance, and no members_changed count=4 after it, while the others have it.

Why it works: the list is current only after a read that succeeded; until then each renewal of the membership is followed by a read.

Twin: a list copied from a peer stayed in use when the store was back.

crates/serve/tests/member_list.rs failed before, passes now; the scene holds.

--- a/crates/serve/src/batch/shards.rs
+++ b/crates/serve/src/batch/shards.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use amaranth_kernel::hashing::hash_bytes;
@@ -33,6 +34,8 @@
     held: StateMutex<HashMap<u64, Instant>>,
     generation: StateMutex<u64>,
     members: StateMutex<HashSet<String>>,
+    /// Whether the members are those of the last generation, as the store lists them.
+    is_listed: AtomicBool,
     on_members: MembersHook,
     member: String,
     shard_count: u64,
@@ -45,6 +48,7 @@
             held: StateMutex::default(),
             generation: StateMutex::default(),
             members: StateMutex::default(),
+            is_listed: AtomicBool::new(false),
             on_members,
             member,
             shard_count: shard_count.max(1),
@@ -56,6 +60,11 @@
         &self.member
     }
 
+    /// Has the members listed anew, as others than those of the store's list may be in use.
+    pub fn list_again(&self) {
+        self.is_listed.store(false, Ordering::Relaxed);
+    }
+
     /// Whether any shard is assigned to this instance.
     pub fn has_shards(&self) -> bool {
         !self.held.lock().is_empty()
@@ -109,7 +118,8 @@
         match (log.join)(request).await {
             Ok(shards) => {
                 let is_new = self.apply_assignment(shards);
-                if is_new {
+                // A list that could not be read is read with the next call, whether the group changes or not.
+                if is_new || !self.is_listed.load(Ordering::Relaxed) {
                     self.refresh_members(log).await;
                 }
             }
@@ -122,12 +132,17 @@
     }
 
     async fn refresh_members(&self, log: &DurableLog) {
+        // A request to list again that comes during the call counts.
+        self.is_listed.store(true, Ordering::Relaxed);
         match (log.members)(()).await {
             Ok(members) => {
                 *self.members.lock() = members.iter().cloned().collect();
                 (self.on_members)(members);
             }
-            Err(e) => log::info!("event=members_not_listed error={:?}", e.to_string()),
+            Err(e) => {
+                self.list_again();
+                log::info!("event=members_not_listed error={:?}", e.to_string());
+            }
         }
     }
 
--- a/crates/serve/src/process.rs
+++ b/crates/serve/src/process.rs
@@ -370,6 +370,7 @@
         routes.clone(),
         placement.clone(),
         quarantine.clone(),
+        shards.clone(),
         codecs,
     );
     let seeds = config.seeds.clone();
--- a/crates/serve/src/topic_apply.rs
+++ b/crates/serve/src/topic_apply.rs
@@ -197,6 +197,7 @@
     routes: Arc<RouteState>,
     placement: Arc<PlacementService>,
     quarantine: Arc<QuarantineService>,
+    shards: Arc<ShardAssignment>,
     codecs: ProtocolCodecs,
 ) -> PeerStateSink {
     let members = placement.clone();
@@ -212,7 +213,10 @@
             LogTopic::Quarantine => quarantine.apply_copy(entries),
             LogTopic::Batch | LogTopic::Progress | LogTopic::Blobs => {}
         }),
-        apply_members: Arc::new(move |names| set_members(&members, names)),
+        apply_members: Arc::new(move |names| {
+            set_members(&members, names);
+            shards.list_again();
+        }),
     }
 }
 
