Give the memory of a head back when its call begins

Cause: a head was given back by the next read within a call. A request that arrives whole in one read has none, so each added its bytes for the life of its connection, until the account of memory ended every write that had to wait.

Why it works: each head that is read to its end begins a call; others go with their connection.

--- a/crates/serve/src/caller_stream.rs
+++ b/crates/serve/src/caller_stream.rs
@@ -53,6 +53,8 @@
     waker: Option<Waker>,
     /// Whether an answer was given before the end of its request's body.
     has_unread_body: bool,
+    /// Memory of the heads that were read and have begun no call yet; `None` if it isn't accounted for.
+    heads: Option<MemoryGuard>,
 }
 
 /// Records the phases of a connection. Shared by its stream and its calls.
@@ -68,15 +70,26 @@
             unwritten: 0,
             waker: None,
             has_unread_body: false,
+            heads: None,
         })))
     }
 
-    /// Records that a call has begun; it ends when the returned guard is dropped.
+    /// Records that a call has begun, whose head needs no memory any more; it ends when the returned guard is
+    /// dropped.
     pub fn begin_call(&self) -> CallGuard {
-        self.lock().start = start_now(LinkPhase::Call);
+        let mut state = self.lock();
+        state.start = start_now(LinkPhase::Call);
+        if let Some(heads) = &mut state.heads {
+            heads.release();
+        }
         CallGuard(self.clone())
     }
 
+    /// Accounts for the heads that are read from now on.
+    fn hold_heads(&self, guard: MemoryGuard) {
+        self.lock().heads = Some(guard);
+    }
+
     /// Records that an answer is given before the end of its request's body.
     pub fn set_unread_body(&self) {
         self.lock().has_unread_body = true;
@@ -119,17 +132,17 @@
         self.lock().unwritten += bytes;
     }
 
-    /// Whether a call is being answered.
-    fn is_in_call(&self) -> bool {
-        self.lock().start.phase == LinkPhase::Call
-    }
-
     /// Line breaks between two requests belong to neither head.
-    fn record_read(&self, bytes: &[u8]) {
+    fn record_read(&self, bytes: &[u8]) -> memory_account::Result<()> {
         let mut state = self.lock();
+        let is_in_call = state.start.phase == LinkPhase::Call;
+        if let Some(heads) = state.heads.as_mut().filter(|_| !is_in_call) {
+            heads.grow(bytes.len())?;
+        }
         if state.start.phase == LinkPhase::Idle && has_head_byte(bytes) {
             state.start = start_now(LinkPhase::Head);
         }
+        Ok(())
     }
 
     fn record_blocked(&self) {
@@ -233,7 +246,6 @@
     /// The connection.
     pub stream: TcpStream,
     clock: PhaseClock,
-    head: MemoryGuard,
     blocked: MemoryGuard,
     blocked_bytes: usize,
 }
@@ -241,24 +253,15 @@
 impl CallerStream {
     /// Creates a stream that records its phases.
     pub fn new(stream: TcpStream, clock: PhaseClock, bounds: &StreamBounds) -> Self {
+        clock.hold_heads(bounds.account.guard(MemoryUse::Head));
         Self {
             stream,
             clock,
-            head: bounds.account.guard(MemoryUse::Head),
             blocked: bounds.account.guard(MemoryUse::Events),
             blocked_bytes: bounds.buffer_bytes.unwrap_or(0) * FULL_BUFFERS,
         }
     }
 
-    fn record_read(&mut self, bytes: &[u8]) -> memory_account::Result<()> {
-        match self.clock.is_in_call() {
-            true => self.head.release(),
-            false => self.head.grow(bytes.len())?,
-        }
-        self.clock.record_read(bytes);
-        Ok(())
-    }
-
     /// Holds the buffers of a caller while it accepts no bytes.
     fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
@@ -289,7 +292,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before
-            && let Err(over) = self.record_read(&buffer.filled()[before..])
+            && let Err(over) = self.clock.record_read(&buffer.filled()[before..])
         {
             return Poll::Ready(Err(io::Error::other(over)));
         }
