Let a part of a limit end unless it is told again, and compare runs of one address only

A team whose other counting member changes while it is limited, to one of a version that doesn't answer, would have kept its part. The lists of members were compared with themselves for each member, not only where two share an address.

--- a/crates/kernel/src/request_quota.rs
+++ b/crates/kernel/src/request_quota.rs
@@ -44,6 +44,9 @@
 const RETRY_MS: (f64, f64) = (50.0, 5_000.0);
 /// Number of teams from which idle ones are forgotten; several times that of the largest configuration.
 const MAX_TEAMS: usize = 65_536;
+/// Time after which a part of a limit that isn't told again is over, in milliseconds: many times the interval at
+/// which it is told.
+const PART_LIFETIME_MS: u64 = 1_000;
 /// Part of a team's rate, or of its burst, from which on its use is much.
 const BUSY_PART: f64 = 0.5;
 /// Time after which a team is idle, in milliseconds: several times what usage remembers.
@@ -177,6 +180,8 @@
     available: f64,
     /// Part of the limit that is granted here.
     part: f64,
+    /// When the part was last told.
+    told_ms: u64,
 }
 
 #[derive(Debug)]
@@ -213,6 +218,10 @@
 
     /// Adds the tokens of the time since the last call. A lowered limit takes effect at once.
     fn refill(&mut self, bounds: QuotaBounds, quota: RequestQuota, now_ms: u64) {
+        let is_over = |lost: &LostContact<R>| now_ms >= lost.told_ms + PART_LIFETIME_MS;
+        if self.lost.as_ref().is_some_and(is_over) {
+            self.end_part();
+        }
         let elapsed_ms = now_ms.saturating_sub(self.level_ms);
         let gained = quota.rate_per_s * self.part() * elapsed_ms as f64 / 1_000.0;
         self.level = (self.level + gained).min(bounds.capacity(quota) * self.part());
@@ -252,6 +261,10 @@
 
     fn record_contact(&mut self, now_ms: u64) {
         self.usage.record_contact(now_ms);
+        self.end_part();
+    }
+
+    fn end_part(&mut self) {
         self.spent = 0.0;
         self.lost = None;
     }
@@ -264,6 +277,7 @@
                 shares: self.usage.shares(now_ms),
                 available: self.level + self.spent,
                 part: 1.0,
+                told_ms: now_ms,
             });
         }
         let Some(lost) = &mut self.lost else { return };
@@ -271,6 +285,7 @@
         let part = lost.shares.part_of(is_reached).unwrap_or(1.0);
         self.level += (part - lost.part) * lost.available;
         lost.part = part;
+        lost.told_ms = now_ms;
     }
 }
 
--- a/crates/serve/src/member_name.rs
+++ b/crates/serve/src/member_name.rs
@@ -2,6 +2,7 @@
 //! process, so that instances need nothing but the list of members to reach each other.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -128,9 +129,14 @@
         };
         let mut latest: HashMap<SocketAddr, &MemberName> = HashMap::new();
         for member in &listed {
-            let known = latest.entry(member.address).or_insert(member);
-            if lateness(known) < lateness(member) {
-                *known = member;
+            match latest.entry(member.address) {
+                Entry::Vacant(entry) => {
+                    entry.insert(member);
+                }
+                Entry::Occupied(mut entry) if lateness(entry.get()) < lateness(member) => {
+                    entry.insert(member);
+                }
+                Entry::Occupied(_) => {}
             }
         }
         let (current, former) = listed
